--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,136 @@
+"""Short stories: one for each rule and each failure met."""
+
+import pytest
+
+from tests.fake_host import MS, FakeHost
+from whinpier.choice import SECOND, level
+from whinpier.model import (DRAINING, ERROR, EXCLUSIVE, FULL, NO_CONNECTION, READY, RERUNNABLE, RESET, TICKETED,
+                            TIMED_OUT, Upstream)
+
+
+@pytest.mark.parametrize("costs, rate, split", [
+    ([], 5.0, []),
+    ([0.1], 4.0, [4.0]),
+    ([0.1, 0.1], 4.0, [2.0, 2.0]),
+    ([0.1, 1.0], 0.001, [0.001, 0.0]),
+    ([0.1, 0.2], 7.0, [6.0, 1.0]),
+    ([0.1, 0.2], 30.0, [20.0, 10.0]),
+])
+def test_level_is_the_papers(costs, rate, split):
+    assert level(costs, rate) == pytest.approx(split, abs=1e-9)
+
+
+@pytest.mark.parametrize("kind, group, outcome, sent, answer", [
+    (EXCLUSIVE, "all", FULL, 2, None),
+    (EXCLUSIVE, "all", NO_CONNECTION, 2, None),
+    (EXCLUSIVE, "all", ERROR, 1, "scrapped"),
+    (EXCLUSIVE, "all", RESET, 1, "scrapped"),
+    (TICKETED, "all", RESET, 2, None),
+    (TICKETED, "cell", RESET, 2, None),
+    (TICKETED, "zone", RESET, 1, "scrapped"),
+    (RERUNNABLE, "all", ERROR, 2, None),
+])
+def test_what_may_have_run_is_sent_again_only_as_its_workload_allows(kind, group, outcome, sent, answer):
+    host = FakeHost(kind, 2, group=group)  # the two upstreams stand in different zones
+    task = host.task()
+    host.came_back(host.sent[0], outcome)
+    host.wait(SECOND // 4)
+    assert (len(task.hand_offs), host.answers.get(task.id)) == (sent, answer)
+
+
+def test_a_ticketed_task_is_not_sent_again_once_its_upstreams_may_have_forgotten_it():
+    host = FakeHost(TICKETED, 1)
+    task = host.task()
+    host.wait(2100 * MS)
+    host.choice.listed(host.upstreams + [Upstream(9, READY, 0, 0, 0)])
+    host.came_back(task.hand_offs[0], RESET)
+    assert len(task.hand_offs) == 1 and host.answers[task.id] == "turned back"
+
+
+@pytest.mark.parametrize("kind", [EXCLUSIVE, TICKETED, RERUNNABLE])
+def test_a_time_out_at_the_end_is_answered_at_once(kind):
+    host = FakeHost(kind, 1)
+    task = host.task()
+    host.wait(3000 * MS)
+    host.came_back(task.hand_offs[0], TIMED_OUT)
+    assert host.answers[task.id] == "scrapped"
+
+
+@pytest.mark.parametrize("patience", [5 * MS, 60 * MS, 3000 * MS])
+def test_with_nothing_to_send_to_a_task_is_held_briefly_then_turned_back(patience):
+    host = FakeHost(count=0)
+    task = host.task(patience)
+    host.wait(min(patience, 200 * MS))
+    assert host.answers[task.id] == "turned back" and not host.sent
+
+
+def test_a_held_task_goes_out_when_an_upstream_appears():
+    host = FakeHost(count=0)
+    task = host.task()
+    host.wait(20 * MS)
+    host.choice.listed([Upstream(1, READY, 0, 0, 0)])
+    assert len(task.hand_offs) == 1
+
+
+def test_a_draining_or_missing_upstream_gets_nothing_new():
+    host = FakeHost(count=3)
+    host.upstreams[0].state = DRAINING
+    host.choice.listed(host.upstreams[:2])  # the third is missing
+    host.traffic(2 * SECOND)
+    assert {sent.upstream.id for sent in host.sent} == {1}
+
+
+def test_a_cold_upstream_gets_its_part_by_age():
+    host = FakeHost(count=4)
+    host.traffic(4 * SECOND)
+    cold = Upstream(9, READY, 0, 0, host.now)
+    host.choice.listed(host.upstreams + [cold])
+    before = len(host.sent)
+    host.traffic(SECOND)
+    fresh = sum(sent.upstream is cold for sent in host.sent[before:])
+    assert 1 <= fresh <= 0.6 * (len(host.sent) - before) / 4
+
+
+def test_a_slow_upstream_gets_less():
+    host = FakeHost(count=3)
+    host.traffic(8 * SECOND, takes=lambda upstream: (400 if upstream.id == 0 else 50) * MS)
+    late = [sent for sent in host.sent if sent.sent > host.now - 3 * SECOND]
+    assert sum(sent.upstream.id == 0 for sent in late) < 0.1 * len(late)
+
+
+def test_an_upstream_that_swallows_tasks_loses_its_share_before_its_first_time_out_and_trials_bring_it_back():
+    host = FakeHost(TICKETED, 3)
+    host.traffic(3 * SECOND)
+    before = len(host.sent)
+    host.traffic(SECOND, takes=lambda upstream: None if upstream.id == 0 else 50 * MS)
+    assert sum(sent.upstream.id == 0 for sent in host.sent[before:]) < 15
+    host.traffic(12 * SECOND)
+    assert sum(sent.upstream.id == 0 for sent in host.sent[-50:]) > 5
+
+
+def test_quick_failures_do_not_look_fast():
+    host = FakeHost(RERUNNABLE, 3)
+    host.traffic(3 * SECOND)
+    for _ in range(30):
+        host.task()
+        for hand_off in host.out():
+            host.came_back(hand_off, ERROR if hand_off.upstream.id == 0 else "fulfilled")
+        host.wait(100 * MS)
+    assert host.upstreams[0].seen.share < 0.1
+
+
+def test_a_repeatable_task_gets_a_second_copy_and_the_loser_is_withdrawn():
+    host = FakeHost(RERUNNABLE, 3)
+    host.traffic(3 * SECOND)
+    task = host.task()
+    host.wait(300 * MS)
+    assert len(task.hand_offs) == 2
+    host.came_back(task.hand_offs[1])
+    assert task.hand_offs[0] in host.withdrawn
+
+
+def test_a_full_fleet_turns_back_at_the_door():
+    host = FakeHost(count=3)
+    host.traffic(3 * SECOND)
+    host.traffic(3 * SECOND, every=5 * MS, takes=lambda upstream: 1200 * MS)
+    assert "turned back" in host.answers.values() and len(host.out()) < 60
--- /dev/null
+++ b/whinpier/model.py
@@ -0,0 +1,123 @@
+"""Plain types shared by the decisions and whatever hosts them, and the Host they call. No decisions here.
+
+All times are whole nanoseconds on the host's clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+RERUNNABLE, TICKETED, EXCLUSIVE = "rerunnable", "ticketed", "exclusive"
+READY, DRAINING, GONE = "ready", "draining", "gone"
+
+# How a hand-off came back.
+FULFILLED, ERROR, TIMED_OUT, RESET, WITHDRAWN = "fulfilled", "error", "timed out", "reset", "withdrawn"
+FULL, NO_CONNECTION, MOOT = "full", "no connection", "moot"
+NEVER_RAN = frozenset((FULL, NO_CONNECTION, MOOT))
+
+
+class WireError(Exception):
+    """What came in cannot be understood; the text says what and where."""
+
+
+@dataclass(slots=True, eq=False)
+class Workload:
+    """One kind of task, with what its users expect of it."""
+
+    name: str
+    kind: str
+    agreed_time: int
+    patience: int
+    payoff: float
+    late_payoff: float = 0.0
+    group: str = "all"
+    window: int = 0
+    streamed: bool = False
+    stretch: float = 0.0
+    seen: Any = None  # the decisions' own notes
+
+
+@dataclass(slots=True, eq=False)
+class Upstream:
+    """One run of an upstream: a restart makes a new object."""
+
+    id: int
+    state: str
+    zone: int
+    cell: int
+    started: int  # 0: long ago
+    size: float = 1.0
+    shape: int = 0
+    seen: Any = None  # the decisions' own notes
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """What a client asked for once; a client's next try is another task."""
+
+    id: int
+    workload: Workload
+    came: int
+    ends: int  # the client gives up then
+    key: int = 0
+    tenant: int = 0
+    work_hint: int | None = None
+    repeat: bool = False
+    write: bool = False
+    hand_offs: list[HandOff] = field(default_factory=list)
+    ended: bool = False
+    opened: bool = False  # its answer has begun to stream
+    seen: Any = None  # the decisions' own notes
+
+
+@dataclass(slots=True, eq=False)
+class HandOff:
+    """One sending of a task to an upstream; `outcome` is None while it is out."""
+
+    task: Task
+    upstream: Upstream
+    number: int
+    sent: int
+    outcome: str | None = None
+    took: int = 0
+    seen: Any = None  # the decisions' own notes
+
+
+class Host(Protocol):
+    """What the decisions may ask of the program around them."""
+
+    now: int
+
+    def hand_off(self, task: Task, upstream: Upstream, stop_at: int = 0) -> HandOff:
+        """Send the task; 0 as `stop_at` means until the client gives up."""
+
+    def withdraw(self, hand_off: HandOff) -> None:
+        """Stop waiting for a hand-off; its outcome still comes back."""
+
+    def turn_back(self, task: Task, wait: int = 0) -> None:
+        """Final answer: not done, trying again is harmless, best after `wait`."""
+
+    def scrap(self, task: Task) -> None:
+        """Final answer: not fulfilled, nothing promised."""
+
+    def alarm(self, at: int, token: int = 0) -> None:
+        """Call `Choice.bell(token)` at or soon after `at`."""
+
+    def probe(self, upstream: Upstream) -> None:
+        """Check an upstream; `Choice.probed` gets the finding."""
+
+    def close_idle(self, upstream: Upstream) -> None:
+        """Close idle connections to an upstream."""
+
+    def tell(self, balancer: int | None, contents: bytes) -> None:
+        """Send a few bytes to one other balancer, or to all (None)."""
+
+    def follow_list(self, on: bool) -> None:
+        """Ask for changes of the upstream list from now on, or no longer."""
+
+    def fetch_list(self) -> None:
+        """Ask once for the whole list."""
+
+    def log(self, text: str) -> None:
+        """Leave a line for the people on call."""
--- /dev/null
+++ b/whinpier/simhost/wire.py
@@ -0,0 +1,160 @@
+"""The simulator's wire: frames, records, settings. Wire words and microseconds stop here."""
+
+from __future__ import annotations
+
+import math
+from struct import Struct
+from typing import Any, BinaryIO
+
+from whinpier import model
+from whinpier.model import WireError, Workload
+
+US = 1000  # nanoseconds in one wire microsecond
+
+BATCH = Struct("<IIIQ")
+REPLY = Struct("<III")
+RECORD = Struct("<BI")
+FLOATS = [Struct(f"<{n}f") for n in range(256)]
+
+# Event codes.
+UP, ROSTER, TARGETS, INGRESS, DESTROY, CLIENT_LEFT = 90, 10, 100, 50, 80, 40
+DATAGRAM, BELL, RESOLVED, SAMPLED, OPENED = 20, 60, 70, 30, 110
+
+# The fixed fields of each event, in order.
+FIELDS = {
+    UP: Struct("<IQI"), ROSTER: Struct("<II"), TARGETS: Struct("<IBII"), INGRESS: Struct("<IIBQIQBI"),
+    DESTROY: Struct("<I"), CLIENT_LEFT: Struct("<II"), DATAGRAM: Struct("<IHH"), BELL: Struct("<IQ"),
+    RESOLVED: Struct("<IIHIHIBB"), SAMPLED: Struct("<IHIIB"), OPENED: Struct("<IIIHI"),
+}
+ENTRY = Struct("<BIHQfHH")
+
+# Actions, each with its record header in front.
+ISSUE, PUSH_BACK, SET_ALARM = Struct("<BIIIIQ"), Struct("<BIIII"), Struct("<BIIQQ")
+STREAM_CHANGES, DROP_CONNS, SNAPSHOT = Struct("<BIIB"), Struct("<BIII"), Struct("<BII")
+SOUND_OUT, WITHDRAW, GIVE_UP = Struct("<BIII"), Struct("<BIIIH"), Struct("<BIII")
+TEXT, SIGNAL = Struct("<BIIH"), Struct("<BIIIH")
+EMIT_CODE, FATAL_CODE = 90, 50
+
+SCOPE_DELTA, SCOPE_FAILED, SCOPE_FULL, SCOPE_CACHED = 0, 1, 2, 3
+STATES = {0: model.GONE, 1: model.READY, 2: model.DRAINING}
+OUTCOMES = {
+    0: model.FULFILLED, 5: model.ERROR, 11: model.FULL, 104: model.RESET, 110: model.TIMED_OUT,
+    111: model.NO_CONNECTION, 114: model.MOOT, 125: model.WITHDRAWN,
+}
+KINDS = {"repeatable": model.RERUNNABLE, "by_key": model.TICKETED, "once": model.EXCLUSIVE}
+COLUMNS = {
+    "busy_reqs": "held", "pending": "waiting", "cpu_share": "busy", "svc_ms": "service_ms",
+    "served_ps": "fulfilled_rate", "failed_ps": "scrapped_rate",
+}
+
+
+def read_batch(source: BinaryIO) -> tuple[int, int, int, bytes] | None:
+    """Number, record count, clock and records of the next batch; None at the end of input."""
+    head = source.read(BATCH.size)
+    if not head:
+        return None
+    if len(head) < BATCH.size:
+        raise WireError(f"batch header of {len(head)} bytes, {BATCH.size} expected")
+    number, count, length, clock = BATCH.unpack(head)
+    if length < 8:
+        raise WireError(f"batch {number}: length {length} does not even hold the clock")
+    body = source.read(length - 8)
+    if len(body) < length - 8:
+        raise WireError(f"batch {number}: {len(body)} bytes of records, {length - 8} announced")
+    return number, count, clock * US, body
+
+
+def records(number: int, count: int, body: bytes):
+    """Each known record of a batch as (code, fields, rest of its bytes)."""
+    at, size = 0, len(body)
+    for index in range(count):
+        if at + RECORD.size > size:
+            raise WireError(f"batch {number}: record {index} of {count} is missing")
+        code, length = RECORD.unpack_from(body, at)
+        at += RECORD.size
+        if at + length > size:
+            raise WireError(f"batch {number}: record {index} (code {code}) runs past the end")
+        shape = FIELDS.get(code)
+        if shape is not None:  # an event this page does not know is skipped
+            if length < shape.size:
+                raise WireError(f"batch {number}: record {index} (code {code}) has {length} bytes,"
+                                f" {shape.size} expected")
+            yield code, shape.unpack_from(body, at), body[at + shape.size:at + length]
+        at += length
+    if at != size:
+        raise WireError(f"batch {number}: {size - at} bytes after the last record")
+
+
+def counted(rest: bytes, count: int) -> bytes:
+    """The `count` bytes that a field announced."""
+    if len(rest) < count:
+        raise WireError(f"a field of {count} bytes holds {len(rest)}")
+    return rest[:count]
+
+
+def entries(rest: bytes, count: int) -> list[tuple]:
+    """The entries of a roster."""
+    return list(ENTRY.iter_unpack(counted(rest, count * ENTRY.size)))
+
+
+def report(rest: bytes, count: int, columns: list[str]) -> dict[str, float] | None:
+    """A load report by our column names; what is absent, negative or no number is left out."""
+    if not count:
+        return None
+    values = FLOATS[count].unpack(counted(rest, 4 * count))
+    return {name: value for name, value in zip(columns, values) if value >= 0 and math.isfinite(value)}
+
+
+def value(text: str) -> Any:
+    """A setting's text as the plain value it stands for."""
+    if text in ("true", "false"):
+        return text == "true"
+    for kind in (int, float):
+        try:
+            return kind(text)
+        except ValueError:
+            pass
+    return text
+
+
+def settings(text: str) -> dict[str, Any]:
+    """The settings map in our words: names without `_us`, their values in nanoseconds."""
+    found: dict[str, Any] = {}
+    for line in text.splitlines():
+        name, mark, content = line.partition("=")
+        if not mark:
+            continue
+        plain = value(content)
+        if name.endswith("_us") and isinstance(plain, (int, float)):
+            name, plain = name[:-3], int(plain * US)
+        found[name] = plain
+    columns = str(found.get("report.columns", "") or "").split(",")
+    found["report.columns"] = [COLUMNS.get(name, name) for name in columns if name]
+    return found
+
+
+def needed(found: dict[str, Any], name: str) -> Any:
+    """A setting that there is no doing without."""
+    if name not in found:
+        raise WireError(f"setting {name} is missing")
+    return found[name]
+
+
+def workloads(found: dict[str, Any]) -> list[Workload]:
+    """The workloads that the settings describe, in order."""
+    made = []
+    for index in range(needed(found, "workloads.count")):
+        at = f"workloads.{index}."
+        kind = needed(found, at + "semantics")
+        if kind not in KINDS:
+            raise WireError(f"setting {at}semantics: {kind!r} is no known kind")
+        made.append(Workload(
+            name=str(found.get(at + "name", index)), kind=KINDS[kind],
+            agreed_time=needed(found, at + "agreed_time"), patience=needed(found, at + "patience"),
+            payoff=float(found.get(at + "payoff", 1.0)),
+            late_payoff=float(found.get(at + "overdue_payoff", 0.0)),
+            group=str(found.get(at + "key_scope", "all")), window=found.get(at + "window", 0),
+            streamed=bool(found.get(at + "stream", False)),
+            stretch=float(found.get(at + "aim_stretch", 0.0) or 0.0),
+        ))
+    return made
