--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -110,13 +110,10 @@
 
 
 class Entry:
-    """First stage: takes a task in, holds it a moment or turns it back while the fleet is full."""
+    """First stage: takes a task in; what no upstream has room for is held a moment, then turned back."""
 
-    # In flight at most what is answered within this part of the agreed time: the rest is for the spread
-    # of latencies around their mean.
-    ROOM = 0.5
-    # Held at most this part of the agreed time: long enough to ride out a short stop, prompt for the client.
-    HOLD = 0.12
+    # Held at most this part of the agreed time: the rest is for the upstream. Long enough to ride out a short stop.
+    HOLD = 0.25
 
     def __init__(self, choice: Choice, settings: dict[str, Any]) -> None:
         self.choice, self.host = choice, choice.host
@@ -124,44 +121,31 @@
         self.answered = Sum(2 * SECOND, self.host.now)  # 2 s: follows a fleet that turns slow, not single tasks
         self.advise = bool(settings.get("limits.retry_after", False))
 
-    def room(self, workload: Workload) -> bool:
-        """By Little's law, whether what is in flight would be answered in time."""
-        split, now = self.choice.split, self.host.now
-        # What a silent upstream holds says nothing of the others: it takes no room.
-        out = sum(seen.out for seen in split.sure())
-        if out < 2 * len(split.pool):  # two each can always be out: an idle fleet has no rate to go by
-            return True
-        return out < self.answered.rate(now) * self.ROOM * workload.agreed_time / SECOND
-
     def take(self, task: Task) -> str:
-        if self.choice.split.pool and not self.held and self.room(task.workload):
-            return PASS
-        return self.hold(task)
+        return self.hold(task) if self.held else PASS
 
     def until(self, task: Task) -> int:
         """How long a task may be held; 20 ms before its end at the latest, so that its answer is timely."""
         return min(task.came + int(self.HOLD * task.workload.agreed_time), task.ends - SECOND // 50)
 
     def hold(self, task: Task) -> str:
-        """Keep a task until there is room, for a short while."""
-        if self.until(task) <= self.host.now:
+        """Keep a task until there is room, unless too many wait for it to be reached in time."""
+        wait, now = self.until(task) - self.host.now, self.host.now
+        if wait <= 0 or len(self.held) > 3 + self.answered.rate(now) * wait / SECOND:
             return self.choice.finish(task)
         self.held.append(task)
-        self.choice.wake(self.until(task))
+        self.choice.wake(now + SECOND // 100)
         return KEEP
 
     def release(self) -> None:
         """Send on what is held, oldest first, while there is room."""
-        split = self.choice.split
-        while self.held and split.pool:
+        while self.held:
             task = self.held[0]
-            if not task.ended and not self.room(task.workload):
+            if not task.ended and self.choice.split.find(task) is None:
                 break
             self.held.popleft()
             if not task.ended:
                 self.choice.run(task, 1)
-                if self.held and self.held[-1] is task:
-                    break  # held again: nothing may be sent to
 
     def expire(self) -> None:
         """Turn back what has been held long enough."""
@@ -256,7 +240,7 @@
             task = hand_off.task
             if task.ended or task.opened or hand_off.outcome or hand_off is not task.hand_offs[-1]:
                 continue
-            if self.allowed(task) and self.afford() and self.choice.entry.room(task.workload):
+            if self.allowed(task) and self.afford() and not self.choice.entry.held:
                 self.copies.add(self.host.now)
                 self.choice.split.take(task)
 
@@ -283,6 +267,7 @@
     """Last stage: draws an upstream by the shares of the min-max solve and hands the task over."""
 
     STEP = 1.0 - exp(-PERIOD / Seen.SPAN)  # rates are smoothed over the same time as latencies
+    ROOM = 0.4  # of the agreed time, for the mean latency: the rest is for its spread and for waiting here
     TRIALS = 0.01  # of sends, to idle upstreams; the design page's
 
     def __init__(self, choice: Choice, settings: dict[str, Any], workloads: list[Workload], seed: int) -> None:
@@ -392,7 +377,12 @@
         upstream = seen.upstream
         if upstream.state != READY or any(sent.upstream is upstream for sent in task.hand_offs):
             return False
-        return self.choice.again.fits(task, upstream) and self.warm_enough(seen)
+        return self.choice.again.fits(task, upstream) and self.room(seen, task.workload) and self.warm_enough(seen)
+
+    def room(self, seen: Seen, workload: Workload) -> bool:
+        # Guards against crowding: by Little's law no more is out at an upstream than it answers within a part
+        # of the agreed time; what silently piles up there is bounded alike.
+        return seen.out < max(4.0, seen.answers.rate(self.host.now) * self.ROOM * workload.agreed_time / SECOND)
 
     def warm_enough(self, seen: Seen) -> bool:
         # Guards against pushing over a cold upstream: of what others get it takes its part by age, and half
