--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -54,7 +54,8 @@
     # 3 s: long enough to hold a few dozen answers, short against troubles of ten seconds.
     SPAN = 3 * SECOND
 
-    __slots__ = ("upstream", "out", "pull", "silence", "at", "due", "answers", "sends", "share", "given", "reported")
+    __slots__ = ("upstream", "out", "pull", "silence", "at", "due", "answers", "sends", "share", "given", "reported",
+                 "full_until")
 
     def __init__(self, upstream: Upstream, now: int) -> None:
         self.upstream, self.at = upstream, now
@@ -63,6 +64,7 @@
         self.out, self.pull, self.silence, self.share = 0, 0.0, 0.0, 0.0
         self.given: float | None = None  # its rate, smoothed as its latency is
         self.reported: float | None = None
+        self.full_until = 0
 
     def watch(self, now: int) -> None:
         """Count how many answers were due since last seen, had its hand-offs taken the usual time.
@@ -267,7 +269,7 @@
     """Last stage: draws an upstream by the shares of the min-max solve and hands the task over."""
 
     STEP = 1.0 - exp(-PERIOD / Seen.SPAN)  # rates are smoothed over the same time as latencies
-    ROOM = 0.4  # of the agreed time, for the mean latency: the rest is for its spread and for waiting here
+    ROOM = 0.3  # of the agreed time, for the mean latency: the rest is for its spread and for waiting here
     TRIALS = 0.01  # of sends, to idle upstreams; the design page's
 
     def __init__(self, choice: Choice, settings: dict[str, Any], workloads: list[Workload], seed: int) -> None:
@@ -282,6 +284,7 @@
         self.drawn: list[Seen] = []  # those with a share
         self.bounds: list[float] = []  # running sums of their shares
         self.arrived = Sum(3 * SECOND, now)  # as the latencies it is set against
+        self.agreed = min(workload.agreed_time for workload in workloads)
         self.total, self.owed, self.usual_sends = 0, 0.0, 0.0
         for workload in workloads:
             workload.seen = (Sum(10 * SECOND, now), Sum(10 * SECOND, now))  # time, answers; tells work apart
@@ -366,10 +369,15 @@
 
     def mean_latency(self, now: int) -> float:
         """Seconds, over the mix of workloads as it comes; 0 while nothing is known."""
-        took = answers = 0.0
+        took = answers = agreed = payoff = 0.0
         for workload in self.choice.workloads:
             took += workload.seen[0].read(now)
-            answers += workload.seen[1].read(now)
+            answered = workload.seen[1].read(now)
+            answers += answered
+            payoff += workload.payoff * answered
+            agreed += workload.payoff * answered * workload.agreed_time
+        if payoff > 0.0:
+            self.agreed = agreed / payoff  # what is worth most sets it
         return took / answers / SECOND if answers > 0.5 else 0.0
 
     def open_to(self, seen: Seen, task: Task) -> bool:
@@ -377,12 +385,15 @@
         upstream = seen.upstream
         if upstream.state != READY or any(sent.upstream is upstream for sent in task.hand_offs):
             return False
-        return self.choice.again.fits(task, upstream) and self.room(seen, task.workload) and self.warm_enough(seen)
+        return self.choice.again.fits(task, upstream) and self.room(seen) and self.warm_enough(seen)
 
-    def room(self, seen: Seen, workload: Workload) -> bool:
-        # Guards against crowding: by Little's law no more is out at an upstream than it answers within a part
-        # of the agreed time; what silently piles up there is bounded alike.
-        return seen.out < max(4.0, seen.answers.rate(self.host.now) * self.ROOM * workload.agreed_time / SECOND)
+    def room(self, seen: Seen) -> bool:
+        # Guards against crowding, where upstreams lose speed or turn tasks away: by Little's law no more is out
+        # at an upstream than it answers within a part of the agreed time, nor what silently piles up there.
+        # Six, over all balancers, can always be out: an idle upstream has no rate to go by.
+        now = self.host.now
+        return now >= seen.full_until and seen.out < max(
+            1.0, 6.0 / self.balancers, seen.answers.rate(now) * self.ROOM * self.agreed / SECOND)
 
     def warm_enough(self, seen: Seen) -> bool:
         # Guards against pushing over a cold upstream: of what others get it takes its part by age, and half
@@ -444,6 +455,8 @@
         seen.pull = seen.pull - hand_off.seen if seen.out else 0.0
         if outcome in (FULFILLED, ERROR, FULL):
             seen.silence = 0.0  # it answers
+            # Guards against offering task after task to an upstream that is full: it gets time to answer some.
+            seen.full_until = now + int(self.usual(hand_off.task.workload)) if outcome == FULL else 0
         elif outcome in (NO_CONNECTION, RESET):
             # Guards against an upstream that is down before the list says so.
             seen.silence = max(seen.silence, 5.0)
