--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -134,3 +134,11 @@
     host.traffic(3 * SECOND)
     host.traffic(3 * SECOND, every=5 * MS, takes=lambda upstream: 1200 * MS)
     assert "turned back" in host.answers.values() and len(host.out()) < 60
+
+
+def test_a_held_task_with_little_patience_is_not_lost_behind_one_with_more():
+    host = FakeHost(count=0)
+    host.task()
+    hasty = host.task(60 * MS)
+    host.wait(60 * MS)
+    assert host.answers[hasty.id] == "turned back"
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -90,6 +90,17 @@
         return self.silence > 4.0
 
 
+class Known:
+    """What this balancer has observed of one workload."""
+
+    __slots__ = ("took", "answers", "asked", "kept")
+
+    def __init__(self, now: int) -> None:
+        # 10 s: tells the work of one from the other's, whatever single upstreams do.
+        self.took, self.answers = Sum(10 * SECOND, now), Sum(10 * SECOND, now)
+        self.asked, self.kept = Sum(10 * SECOND, now), Sum(10 * SECOND, now)
+
+
 def level(costs: list[float], rate: float) -> list[float]:
     """The min-max split: rates for servers of mean service time `costs` so that all in use share one level.
 
@@ -119,12 +130,36 @@
 
     def __init__(self, choice: Choice, settings: dict[str, Any]) -> None:
         self.choice, self.host = choice, choice.host
-        self.held: deque[Task] = deque()
+        self.held: dict[Workload, deque[Task]] = {workload: deque() for workload in choice.workloads}
         self.answered = Sum(2 * SECOND, self.host.now)  # 2 s: follows a fleet that turns slow, not single tasks
         self.advise = bool(settings.get("limits.retry_after", False))
+        self.whole = float(settings.get("goal.whole", 1.0))
+        self.worst = float(settings.get("goal.worst_class", 0.0))
+
+    def rank(self) -> None:
+        """Order the workloads by what their tasks add for the work they cost, the worst served lifted."""
+        now, split = self.host.now, self.choice.split
+        asked = {workload: workload.seen.asked.read(now) + 1.0 for workload in self.held}
+        least = min(self.held, key=lambda workload: workload.seen.kept.read(now) / asked[workload])
+        payoff = sum(workload.payoff * count for workload, count in asked.items())
+
+        def worth(workload: Workload) -> float:
+            gain = self.whole * workload.payoff / payoff + (self.worst / asked[workload] if workload is least else 0)
+            return gain / split.usual(workload)
+
+        self.held = {workload: self.held[workload] for workload in sorted(self.held, key=worth, reverse=True)}
+
+    def waiting(self, workload: Workload | None = None) -> int:
+        """How many are held, or of those how many would go before a new task of a workload."""
+        count = 0
+        for other, tasks in self.held.items():
+            count += len(tasks)
+            if other is workload:
+                break
+        return count
 
     def take(self, task: Task) -> str:
-        return self.hold(task) if self.held else PASS
+        return self.hold(task) if self.waiting(task.workload) else PASS
 
     def until(self, task: Task) -> int:
         """How long a task may be held; 20 ms before its end at the latest, so that its answer is timely."""
@@ -132,35 +167,40 @@
 
     def hold(self, task: Task) -> str:
         """Keep a task until there is room, unless too many wait for it to be reached in time."""
-        wait, now = self.until(task) - self.host.now, self.host.now
-        if wait <= 0 or len(self.held) > 3 + self.answered.rate(now) * wait / SECOND:
+        now, before = self.host.now, self.waiting(task.workload)
+        wait = self.until(task) - now
+        if wait <= 0 or before > 3 + self.answered.rate(now) * wait / SECOND:
             return self.choice.finish(task)
-        self.held.append(task)
+        self.held[task.workload].append(task)
         self.choice.wake(now + SECOND // 100)
         return KEEP
 
     def release(self) -> None:
-        """Send on what is held, oldest first, while there is room."""
-        while self.held:
-            task = self.held[0]
-            if not task.ended and self.choice.split.find(task) is None:
-                break
-            self.held.popleft()
-            if not task.ended:
-                self.choice.run(task, 1)
+        """Send on what is held while there is room: the most worth first, of that the oldest."""
+        for tasks in self.held.values():
+            while tasks:
+                if not tasks[0].ended and self.choice.split.find(tasks[0]) is None:
+                    break
+                task = tasks.popleft()
+                if not task.ended:
+                    self.choice.run(task, 1)
 
     def expire(self) -> None:
         """Turn back what has been held long enough."""
-        kept = [task for task in self.held if not task.ended]
-        self.held = deque(task for task in kept if self.until(task) > self.host.now)
-        for task in kept:
-            if self.until(task) <= self.host.now:
+        now = self.host.now
+        for workload, tasks in self.held.items():
+            over = [task for task in tasks if not task.ended and self.until(task) <= now]
+            self.held[workload] = deque(task for task in tasks if not task.ended and self.until(task) > now)
+            for task in over:
                 self.choice.finish(task)
 
     def back(self, hand_off: HandOff, first: bool) -> str:
         if hand_off.outcome == FULFILLED:
             self.answered.add(self.host.now)
-        if self.held:
+            task = hand_off.task
+            if first and self.host.now <= task.came + task.workload.agreed_time:
+                task.workload.seen.kept.add(self.host.now)
+        if self.waiting():
             self.release()
         return PASS
 
@@ -242,7 +282,7 @@
             task = hand_off.task
             if task.ended or task.opened or hand_off.outcome or hand_off is not task.hand_offs[-1]:
                 continue
-            if self.allowed(task) and self.afford() and not self.choice.entry.held:
+            if self.allowed(task) and self.afford() and not self.choice.entry.waiting():
                 self.copies.add(self.host.now)
                 self.choice.split.take(task)
 
@@ -286,8 +326,6 @@
         self.arrived = Sum(3 * SECOND, now)  # as the latencies it is set against
         self.agreed = min(workload.agreed_time for workload in workloads)
         self.total, self.owed, self.usual_sends = 0, 0.0, 0.0
-        for workload in workloads:
-            workload.seen = (Sum(10 * SECOND, now), Sum(10 * SECOND, now))  # time, answers; tells work apart
 
     def age(self, upstream: Upstream) -> float:
         """What part of its full weight a fresh upstream has by its age."""
@@ -298,9 +336,8 @@
 
     def usual(self, workload: Workload) -> float:
         """Mean latency of a workload over the whole fleet, once it is known."""
-        took, answers = workload.seen
-        answered = answers.read(self.host.now)
-        return took.read(self.host.now) / answered if answered > 0.5 else workload.agreed_time / 4
+        answered = workload.seen.answers.read(self.host.now)
+        return workload.seen.took.read(self.host.now) / answered if answered > 0.5 else workload.agreed_time / 4
 
     def listed(self, upstreams: list[Upstream]) -> None:
         """Follow the list: what drains or is missing gets nothing new from this moment on."""
@@ -371,8 +408,8 @@
         """Seconds, over the mix of workloads as it comes; 0 while nothing is known."""
         took = answers = agreed = payoff = 0.0
         for workload in self.choice.workloads:
-            took += workload.seen[0].read(now)
-            answered = workload.seen[1].read(now)
+            took += workload.seen.took.read(now)
+            answered = workload.seen.answers.read(now)
             answers += answered
             payoff += workload.payoff * answered
             agreed += workload.payoff * answered * workload.agreed_time
@@ -465,9 +502,8 @@
         if outcome == WITHDRAWN:
             return PASS  # its time is counted, an answer never came
         if outcome == FULFILLED:
-            times, answers = hand_off.task.workload.seen
-            times.add(now, hand_off.took)
-            answers.add(now)
+            hand_off.task.workload.seen.took.add(now, hand_off.took)
+            hand_off.task.workload.seen.answers.add(now)
         else:
             # Guards against quick failures that look fast: they count as time-outs, that is with the agreed time.
             missing = max(0, hand_off.task.workload.agreed_time - hand_off.took) * hand_off.seen
@@ -481,6 +517,8 @@
 
     def __init__(self, host: Host, settings: dict[str, Any], workloads: list[Workload], seed: int) -> None:
         self.host, self.workloads = host, workloads
+        for workload in workloads:
+            workload.seen = Known(host.now)
         self.entry, self.again = Entry(self, settings), Again(self, settings)
         self.split = Split(self, settings, workloads, seed)
         self.stages = (self.entry, self.again, self.split)
@@ -500,6 +538,7 @@
 
     def arrive(self, task: Task) -> None:
         self.split.arrived.add(self.host.now)
+        task.workload.seen.asked.add(self.host.now)
         self.run(task, 0)
 
     def run(self, task: Task, first: int) -> str:
@@ -551,6 +590,7 @@
         if token == SOLVE:
             self.host.alarm(now + PERIOD, SOLVE)
             self.split.solve()
+            self.entry.rank()
         elif now >= self.next_wake:
             self.next_wake = 0
         self.again.check()
@@ -559,7 +599,7 @@
         if not self.next_wake:
             if self.again.due:
                 self.wake(self.again.due[0][0])
-            if self.entry.held:
+            if self.entry.waiting():
                 self.wake(now + SECOND // 100)
 
     def probed(self, upstream: Upstream, outcome: str, took: int, load: dict[str, float] | None) -> None:
