--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -51,37 +51,34 @@
 class Seen:
     """What this balancer has observed of one upstream."""
 
-    # 3 s: long enough to hold a few dozen answers, short against troubles of ten seconds.
-    SPAN = 3 * SECOND
+    __slots__ = ("upstream", "out", "pull", "silence", "missing", "at", "due", "answers", "sends", "share",
+                 "given", "reported", "room", "full_until", "salt")
 
-    __slots__ = ("upstream", "out", "pull", "silence", "at", "due", "answers", "sends", "share", "given", "reported",
-                 "full_until")
-
-    def __init__(self, upstream: Upstream, now: int) -> None:
+    def __init__(self, upstream: Upstream, now: int, span: int) -> None:
         self.upstream, self.at = upstream, now
-        self.due, self.answers = Sum(self.SPAN, now), Sum(self.SPAN, now)
-        self.sends = Sum(SECOND, now)
-        self.out, self.pull, self.silence, self.share = 0, 0.0, 0.0, 0.0
+        self.due, self.answers, self.sends = Sum(span, now), Sum(span, now), Sum(SECOND, now)
+        self.out, self.pull, self.silence, self.missing, self.share, self.room = 0, 0.0, 0.0, 0.0, 0.0, 1.0
         self.given: float | None = None  # its rate, smoothed as its latency is
         self.reported: float | None = None
         self.full_until = 0
+        self.salt = upstream.id * 0x9E3779B97F4A7C15
 
     def watch(self, now: int) -> None:
-        """Count how many answers were due since last seen, had its hand-offs taken the usual time.
-
-        What is still out counts by its age, so latencies are not late: answers due over answers come is the
-        latency in units of the usual one.
-        """
-        if now > self.at:
-            missing = self.pull * (now - self.at)
-            self.silence += missing
-            self.due.add(now, missing)
-            self.at = now
+        """Count how many answers were due since last seen, had its hand-offs taken the usual time."""
+        missing = self.pull * (now - self.at)
+        self.silence += missing
+        self.missing += missing
+        self.at = now
 
     def ratio(self, now: int) -> float:
-        """Its latency over what the fleet takes for the same workloads; 1 where little is known."""
+        """Its latency over what the fleet takes for the same workloads: answers due over answers come.
+
+        What is still out counts by its age, so that latencies are not late.
+        """
         self.watch(now)
-        return (self.due.read(now) + 1.0) / (self.answers.read(now) + 1.0)
+        self.due.add(now, self.missing)
+        self.missing = 0.0
+        return (self.due.value + 1.0) / (self.answers.read(now) + 1.0)
 
     def doubted(self, now: int) -> bool:
         # Guards against an upstream that takes tasks and answers none: the age of what is out bounds its
@@ -308,7 +305,6 @@
 class Split:
     """Last stage: draws an upstream by the shares of the min-max solve and hands the task over."""
 
-    STEP = 1.0 - exp(-PERIOD / Seen.SPAN)  # rates are smoothed over the same time as latencies
     ROOM = 0.3  # of the agreed time, for the mean latency: the rest is for its spread and for waiting here
     TRIALS = 0.01  # of sends, to idle upstreams; the design page's
 
@@ -325,6 +321,7 @@
         self.bounds: list[float] = []  # running sums of their shares
         self.arrived = Sum(3 * SECOND, now)  # as the latencies it is set against
         self.agreed = min(workload.agreed_time for workload in workloads)
+        self.span = 3 * SECOND
         self.total, self.owed, self.usual_sends = 0, 0.0, 0.0
 
     def age(self, upstream: Upstream) -> float:
@@ -344,7 +341,8 @@
         now, self.pool = self.host.now, []
         for upstream in upstreams:
             if upstream.seen is None:
-                upstream.seen = Seen(upstream, now)
+                upstream.seen = Seen(upstream, now, self.span)
+                self.make_room(upstream.seen)
             if upstream.state == READY:
                 self.pool.append(upstream.seen)
             else:
@@ -361,6 +359,13 @@
         """Find the shares for the next period."""
         now, pool = self.host.now, self.pool
         rate = self.arrived.rate(now) * self.balancers
+        # Latencies fade over the time it takes to hear some thirty answers of each: fewer say little where tasks
+        # differ much. Bounds: three seconds, and half of what a trouble usually lasts.
+        self.span = int(min(max(30.0 * len(pool) / max(self.arrived.rate(now), 1.0), 3.0), 10.0) * SECOND)
+        step = 1.0 - exp(-PERIOD / self.span)  # rates are smoothed over the same time
+        for seen in pool:
+            seen.due.span = seen.answers.span = self.span
+            self.make_room(seen)
         sure = self.sure()
         mean = self.mean_latency(now)
         warm = [seen for seen in pool if self.age(seen.upstream) >= 1.0] or pool
@@ -379,7 +384,7 @@
         for seen in pool:
             seen.share /= total
             if seen.given is not None and seen in sure:  # who is in doubt keeps what it carried before
-                seen.given += (seen.share * rate - seen.given) * self.STEP
+                seen.given += (seen.share * rate - seen.given) * step
             if seen.share > 0.0:
                 bound += seen.share
                 self.drawn.append(seen)
@@ -422,15 +427,19 @@
         upstream = seen.upstream
         if upstream.state != READY or any(sent.upstream is upstream for sent in task.hand_offs):
             return False
-        return self.choice.again.fits(task, upstream) and self.room(seen) and self.warm_enough(seen)
+        # Guards against crowding, where upstreams lose speed or turn tasks away (`make_room`), and against
+        # offering task after task to one that is full.
+        if seen.out >= seen.room or self.host.now < seen.full_until:
+            return False
+        return self.choice.again.fits(task, upstream) and self.warm_enough(seen)
 
-    def room(self, seen: Seen) -> bool:
-        # Guards against crowding, where upstreams lose speed or turn tasks away: by Little's law no more is out
-        # at an upstream than it answers within a part of the agreed time, nor what silently piles up there.
-        # Six, over all balancers, can always be out: an idle upstream has no rate to go by.
-        now = self.host.now
-        return now >= seen.full_until and seen.out < max(
-            1.0, 6.0 / self.balancers, seen.answers.rate(now) * self.ROOM * self.agreed / SECOND)
+    def make_room(self, seen: Seen) -> None:
+        """By Little's law, no more is out at an upstream than it answers within a part of the agreed time.
+
+        Six, over all balancers, can always be out: an idle upstream has no rate to go by.
+        """
+        rate = seen.answers.rate(self.host.now)
+        seen.room = max(1.0, 6.0 / self.balancers, rate * self.ROOM * self.agreed / SECOND)
 
     def warm_enough(self, seen: Seen) -> bool:
         # Guards against pushing over a cold upstream: of what others get it takes its part by age, and half
@@ -505,10 +514,10 @@
             hand_off.task.workload.seen.took.add(now, hand_off.took)
             hand_off.task.workload.seen.answers.add(now)
         else:
-            # Guards against quick failures that look fast: they count as time-outs, that is with the agreed time.
-            missing = max(0, hand_off.task.workload.agreed_time - hand_off.took) * hand_off.seen
-            seen.due.add(now, missing)
+            # Guards against quick failures that look fast: they count as time-outs, with the whole patience.
+            seen.missing += max(0, hand_off.task.workload.patience - hand_off.took) * hand_off.seen
         seen.answers.add(now)
+        self.make_room(seen)
         return PASS
 
 
