--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -52,7 +52,7 @@
     """What this balancer has observed of one upstream."""
 
     __slots__ = ("upstream", "out", "pull", "silence", "missing", "at", "due", "answers", "sends", "share",
-                 "given", "reported", "room", "full_until", "salt")
+                 "given", "reported", "room", "full_until", "salt", "heard")
 
     def __init__(self, upstream: Upstream, now: int, span: int) -> None:
         self.upstream, self.at = upstream, now
@@ -60,7 +60,7 @@
         self.out, self.pull, self.silence, self.missing, self.share, self.room = 0, 0.0, 0.0, 0.0, 0.0, 1.0
         self.given: float | None = None  # its rate, smoothed as its latency is
         self.reported: float | None = None
-        self.full_until = 0
+        self.full_until = self.heard = 0
         self.salt = upstream.id * 0x9E3779B97F4A7C15
 
     def watch(self, now: int) -> None:
@@ -80,11 +80,14 @@
         self.missing = 0.0
         return (self.due.value + 1.0) / (self.answers.read(now) + 1.0)
 
-    def doubted(self, now: int) -> bool:
+    def doubted(self, now: int, but: HandOff | None = None) -> bool:
         # Guards against an upstream that takes tasks and answers none: the age of what is out bounds its
         # latency from below. Four answers overdue happen by chance once in e^4, about one in fifty.
         self.watch(now)
-        return self.silence > 4.0
+        if but is None:
+            return self.silence > 4.0
+        # A heavy task alone must not pass for a silent upstream: without it, one more must be overdue.
+        return self.silence > 4.0 and self.silence - (now - max(but.sent, self.heard)) * but.seen > 1.0
 
 
 class Known:
@@ -205,7 +208,7 @@
 class Again:
     """Second stage: keeps to what each workload allows when a task is sent more than once."""
 
-    COPY_AFTER = 3.0  # a second copy after this many mean latencies: few healthy hand-offs take so long
+    LATE = 2.0  # an answer is late after this many mean latencies: by then an upstream in doubt shows
     COPIES = 0.1  # second copies and repeats, per task: enough for one bad upstream in ten
 
     def __init__(self, choice: Choice, settings: dict[str, Any]) -> None:
@@ -262,24 +265,27 @@
         return self.copies.read(now) < self.COPIES * self.tasks.read(now) + 1.0
 
     def sent(self, hand_off: HandOff) -> None:
-        """Note when a second copy of a repeatable task would be worth its cost."""
+        """Look again at a repeatable task when its answer is late."""
         task = hand_off.task
-        if task.workload.kind == EXCLUSIVE or not self.second_copies or len(task.hand_offs) >= self.most:
-            return
-        due = self.host.now + int(self.COPY_AFTER * self.choice.split.usual(task.workload))
-        if due < task.ends:
+        due = self.host.now + int(self.LATE * self.choice.split.usual(task.workload))
+        if task.workload.kind != EXCLUSIVE and self.second_copies and due < task.ends:
             self.count += 1
             heapq.heappush(self.due, (due, self.count, hand_off))
             self.choice.wake(due)
 
     def check(self) -> None:
-        """Send the second copies that are due."""
+        """Send second copies of what sits at an upstream in doubt.
+
+        A task that is merely late elsewhere is most often a heavy one: a copy of it would double the dearest work.
+        """
         while self.due and self.due[0][0] <= self.host.now:
             hand_off = heapq.heappop(self.due)[2]
             task = hand_off.task
             if task.ended or task.opened or hand_off.outcome or hand_off is not task.hand_offs[-1]:
                 continue
-            if self.allowed(task) and self.afford() and not self.choice.entry.waiting():
+            if not hand_off.upstream.seen.doubted(self.host.now, hand_off):
+                self.sent(hand_off)
+            elif self.allowed(task) and self.afford() and not self.choice.entry.waiting():
                 self.copies.add(self.host.now)
                 self.choice.split.take(task)
 
@@ -500,7 +506,7 @@
         self.total -= 1
         seen.pull = seen.pull - hand_off.seen if seen.out else 0.0
         if outcome in (FULFILLED, ERROR, FULL):
-            seen.silence = 0.0  # it answers
+            seen.silence, seen.heard = 0.0, now  # it answers
             # Guards against offering task after task to an upstream that is full: it gets time to answer some.
             seen.full_until = now + int(self.usual(hand_off.task.workload)) if outcome == FULL else 0
         elif outcome in (NO_CONNECTION, RESET):
@@ -583,7 +589,7 @@
     def opened(self, hand_off: HandOff) -> None:
         """Its answer has begun to stream: the upstream answers, and other copies are not needed."""
         hand_off.upstream.seen.watch(self.host.now)
-        hand_off.upstream.seen.silence = 0.0
+        hand_off.upstream.seen.silence, hand_off.upstream.seen.heard = 0.0, self.host.now
         for other in hand_off.task.hand_offs:
             if other is not hand_off and not other.outcome and self.again.cancelling:
                 self.host.withdraw(other)
