--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,8 +4,8 @@
 
 from tests.fake_host import MS, FakeHost
 from whinpier.choice import SECOND, level
-from whinpier.model import (DRAINING, ERROR, EXCLUSIVE, FULL, NO_CONNECTION, READY, RERUNNABLE, RESET, TICKETED,
-                            TIMED_OUT, Upstream)
+from whinpier.model import (DRAINING, ERROR, EXCLUSIVE, FULL, NO_CONNECTION, READY, RERUNNABLE, RESET,
+                            TICKETED, TIMED_OUT, Upstream)
 
 
 @pytest.mark.parametrize("costs, rate, split", [
