--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -86,7 +86,7 @@
         self.silence, self.heard = 0.0, now
 
     def ratio(self, now: int) -> float:
-        """Its latency over the fleet's: answers due, what is still out counting by its age, over answers come."""
+        """Its latency over the fleet's: answers due, with what is still out by its age, over those come."""
         self.watch(now)
         self.due.add(now, self.missing)
         self.missing = 0.0
@@ -103,7 +103,7 @@
 
 
 def level(costs: list[float], rate: float) -> list[float]:
-    """The min-max split: rates for servers of mean service time `costs` that bring all in use to one level r."""
+    """The min-max split: rates for servers of mean service time `costs`, so that all in use share a level r."""
     total, capacity = sum(1.0 / cost for cost in costs), 0.0
     if rate >= total:
         return [rate / total / cost for cost in costs]
@@ -479,7 +479,7 @@
         seen.pull = seen.pull - hand_off.seen if seen.out else 0.0
         if outcome in (FULFILLED, ERROR, FULL):
             seen.answered(now)
-            # Guards against task after task offered to an upstream that is full: it may answer some first.
+            # Guards against task after task offered to an upstream that is full.
             seen.full_until = now + int(workload.seen.usual) if outcome == FULL else 0
         elif outcome in (NO_CONNECTION, RESET):
             # Guards against an upstream that is down before the list says so.
