--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -302,7 +302,7 @@
 class Split:
     """Last stage: draws an upstream by the shares of the min-max solve and hands the task over."""
 
-    ROOM = 0.3  # of the agreed time, for the mean latency: the rest is for its spread and for waiting here
+    ROOM = 0.3  # of the agreed time at most for the mean latency: the rest is for its spread and waiting here
     TRIALS = 0.01  # of sends, to idle upstreams; the design page's
 
     def __init__(self, choice: Choice, settings: dict[str, Any], seed: int) -> None:
@@ -320,7 +320,8 @@
         self.bounds: list[float] = []  # running sums of their shares
         self.span = 3 * SECOND
         self.arrived = Sum(self.span, self.host.now)
-        self.agreed = min(workload.agreed_time for workload in choice.workloads)
+        self.agreed = min(workload.agreed_time for workload in choice.workloads) / SECOND
+        self.ease = self.agreed  # the least mean latency of late, in seconds as the agreed time
         self.total, self.owed, self.usual_sends = 0, 0.0, 0.0
 
     def listed(self, upstreams: list[Upstream]) -> None:
@@ -381,8 +382,12 @@
             took += known.took.value
             payoff += workload.payoff * answered
             agreed += workload.payoff * answered * workload.agreed_time
-        self.agreed = agreed / payoff if payoff > 0.0 else self.agreed  # what is worth most sets it
-        return took / answers / SECOND if answers > 0.5 else 0.0
+        self.agreed = agreed / payoff / SECOND if payoff > 0.0 else self.agreed  # what is worth most sets it
+        mean = took / answers / SECOND if answers > 0.5 else 0.0
+        if answers > 50.0:  # fewer come from the quickest tasks only
+            # Forgotten by one part in a hundred a second: slower than any trouble, quick enough for a new mix.
+            self.ease = min(self.ease * 1.01, mean)
+        return mean
 
     def costs(self, sure: list[Seen], mean: float) -> list[float]:
         """Mean service time of each, from the point on its curve that its latency and rate show."""
@@ -391,7 +396,7 @@
             given = seen.reported if seen.reported is not None else seen.given
             if given is not None:
                 # Where crossing zones has its price, it is added to the curve of a distant upstream as time.
-                far = self.crossing * self.agreed / SECOND if seen.upstream.zone != self.zone else 0.0
+                far = self.crossing * self.agreed if seen.upstream.zone != self.zone else 0.0
                 known[seen] = 1.0 / (mean * seen.ratio(now) + far) + given
         middle = sum(known.values()) / len(known) if known else 1.0 / mean
         costs = []
@@ -405,11 +410,11 @@
         return costs
 
     def make_room(self, seen: Seen) -> None:
-        # Guards against crowding, where upstreams lose speed or turn tasks away: by Little's law no more is
-        # out than is answered within a part of the agreed time. Six, over all balancers, can always be out:
-        # an idle upstream has no rate to go by.
+        # Guards against crowding, where upstreams lose speed, some for long, or turn tasks away: by Little's
+        # law no more is out than is answered in twice the latency of a fleet at ease. Six, over all balancers,
+        # can always be out: an idle upstream has no rate to go by. Half a task less is to round it.
         rate = seen.answers.rate(self.host.now)
-        seen.room = max(1.0, 6.0 / self.balancers, rate * self.ROOM * self.agreed / SECOND)
+        seen.room = max(1.0, 6.0 / self.balancers, rate * min(2.0 * self.ease, self.agreed * self.ROOM)) - 0.5
 
     def open_to(self, seen: Seen, task: Task) -> bool:
         """Whether the rules and plain sense let this upstream have the task."""
