--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -65,13 +65,13 @@
     """What this balancer has observed of one upstream."""
 
     __slots__ = ("upstream", "salt", "out", "pull", "silence", "missing", "at", "heard", "due", "answers",
-                 "sends", "share", "given", "reported", "room", "full_until")
+                 "sends", "share", "given", "reported", "room", "shut_until")
 
     def __init__(self, upstream: Upstream, now: int, span: int) -> None:
         self.upstream, self.salt = upstream, upstream.id * 0x9E3779B97F4A7C15
         self.due, self.answers, self.sends = Sum(span, now), Sum(span, now), Sum(SECOND, now)
         self.out, self.pull, self.silence, self.missing, self.at, self.heard = 0, 0.0, 0.0, 0.0, now, now
-        self.share, self.room, self.full_until = 0.0, 1.0, 0
+        self.share, self.room, self.shut_until = 0.0, 1.0, 0
         self.given: float | None = None  # its rate, smoothed as its latency is
         self.reported: float | None = None
 
@@ -421,7 +421,7 @@
         upstream, now = seen.upstream, self.host.now
         if upstream.state != READY or any(sent.upstream is upstream for sent in task.hand_offs):
             return False
-        if seen.out >= seen.room or now < seen.full_until or not self.choice.again.fits(task, upstream):
+        if seen.out >= seen.room or now < seen.shut_until or not self.choice.again.fits(task, upstream):
             return False
         # Guards against pushing over a cold upstream: of what others get it takes its part by age, and half
         # as much again at most; every balancer keeps to that by itself.
@@ -484,8 +484,9 @@
         seen.pull = seen.pull - hand_off.seen if seen.out else 0.0
         if outcome in (FULFILLED, ERROR, FULL):
             seen.answered(now)
-            # Guards against task after task offered to an upstream that is full.
-            seen.full_until = now + int(workload.seen.usual) if outcome == FULL else 0
+            # Guards against task after task offered to an upstream that is full or fails quickly, and so always
+            # has room: it gets none for as long as its latency now says.
+            seen.shut_until = 0 if outcome == FULFILLED else now + int(workload.seen.usual * seen.ratio(now))
         elif outcome in (NO_CONNECTION, RESET):
             # Guards against an upstream that is down before the list says so.
             seen.silence = max(seen.silence, 5.0)
