--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -149,3 +149,18 @@
     hasty = host.task(60 * MS)
     host.wait(60 * MS)
     assert host.answers[hasty.id] == "turned back"
+
+
+@pytest.mark.parametrize("outcome", [ERROR, NO_CONNECTION, FULL])
+def test_while_others_are_full_one_that_fails_quickly_does_not_draw_what_finds_no_room(outcome):
+    host = FakeHost(EXCLUSIVE, 3)
+    host.traffic(3 * SECOND)
+    failed = 0
+    for _ in range(100):  # two answer none in this second, one fails whatever it gets
+        host.task()
+        for hand_off in host.out():
+            if hand_off.upstream.id == 0:
+                host.came_back(hand_off, outcome)
+                failed += 1
+        host.wait(10 * MS)
+    assert failed < 15
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -19,7 +19,7 @@
 from typing import Any
 
 from whinpier.model import (ERROR, EXCLUSIVE, FULFILLED, FULL, MOOT, NEVER_RAN, NO_CONNECTION, READY,
-                            RERUNNABLE, RESET, WITHDRAWN, HandOff, Host, Task, Upstream, Workload)
+                            RERUNNABLE, RESET, TIMED_OUT, WITHDRAWN, HandOff, Host, Task, Upstream, Workload)
 
 PASS, KEEP, END = "pass on", "keep", "end"
 SECOND = 1_000_000_000
@@ -65,7 +65,7 @@
     """What this balancer has observed of one upstream."""
 
     __slots__ = ("upstream", "salt", "out", "pull", "silence", "missing", "at", "heard", "due", "answers",
-                 "sends", "share", "given", "reported", "room", "shut_until")
+                 "sends", "share", "given", "room", "shut_until")
 
     def __init__(self, upstream: Upstream, now: int, span: int) -> None:
         self.upstream, self.salt = upstream, upstream.id * 0x9E3779B97F4A7C15
@@ -73,7 +73,6 @@
         self.out, self.pull, self.silence, self.missing, self.at, self.heard = 0, 0.0, 0.0, 0.0, now, now
         self.share, self.room, self.shut_until = 0.0, 1.0, 0
         self.given: float | None = None  # its rate, smoothed as its latency is
-        self.reported: float | None = None
 
     def watch(self, now: int) -> None:
         """Count how many answers were due since last looked at, had its hand-offs taken the usual time."""
@@ -96,14 +95,13 @@
         # Guards against an upstream that takes tasks and answers none: the age of what is out bounds its
         # latency from below. Four answers overdue happen by chance once in e^4, about one in fifty.
         self.watch(now)
-        if self.silence <= 4.0 or but is None:
-            return self.silence > 4.0
-        # A heavy task alone must not pass for a silent upstream: without it, one more must be overdue.
-        return self.silence - (now - max(but.sent, self.heard)) * but.seen > 1.0
+        # For `but`, a heavy task must not pass for a silent upstream: without it, one more must be overdue.
+        alone = (now - max(but.sent, self.heard)) * but.seen if but else 0.0
+        return self.silence > 4.0 and self.silence - alone > 1.0
 
 
 def level(costs: list[float], rate: float) -> list[float]:
-    """The min-max split: rates for servers of mean service time `costs`, so that all in use share a level r."""
+    """The min-max split: rates for servers of mean service time `costs`, all in use at one level r."""
     total, capacity = sum(1.0 / cost for cost in costs), 0.0
     if rate >= total:
         return [rate / total / cost for cost in costs]
@@ -117,11 +115,8 @@
 
 
 def mixed(key: int, salt: int) -> float:
-    """A number in (0, 1) that looks random and is the same wherever key and upstream are."""
-    bits = (key ^ salt) & 0xFFFFFFFFFFFFFFFF
-    for _ in range(2):  # one multiplying round leaves neighbouring keys alike
-        bits = ((bits ^ (bits >> 32)) * 0xD6E8FEB86659FD93) & 0xFFFFFFFFFFFFFFFF
-    return ((bits ^ (bits >> 32)) + 0.5) / 2.0**64
+    """A number in (0, 1) that looks random and is the same at every balancer: hashes of numbers are."""
+    return ((hash((key, salt)) & 0xFFFFFFFFFFFFFFFF) + 0.5) / 2.0**64
 
 
 class Entry:
@@ -385,7 +380,7 @@
         self.agreed = agreed / payoff / SECOND if payoff > 0.0 else self.agreed  # what is worth most sets it
         mean = took / answers / SECOND if answers > 0.5 else 0.0
         if answers > 50.0:  # fewer come from the quickest tasks only
-            # Forgotten by one part in a hundred a second: slower than any trouble, quick enough for a new mix.
+            # Forgotten by a hundredth a second: slower than any trouble, quick enough for a new mix.
             self.ease = min(self.ease * 1.01, mean)
         return mean
 
@@ -393,11 +388,10 @@
         """Mean service time of each, from the point on its curve that its latency and rate show."""
         now, known = self.host.now, {}
         for seen in sure:
-            given = seen.reported if seen.reported is not None else seen.given
-            if given is not None:
+            if seen.given is not None:
                 # Where crossing zones has its price, it is added to the curve of a distant upstream as time.
                 far = self.crossing * self.agreed if seen.upstream.zone != self.zone else 0.0
-                known[seen] = 1.0 / (mean * seen.ratio(now) + far) + given
+                known[seen] = 1.0 / (mean * seen.ratio(now) + far) + seen.given
         middle = sum(known.values()) / len(known) if known else 1.0 / mean
         costs = []
         for seen in sure:
@@ -411,8 +405,8 @@
 
     def make_room(self, seen: Seen) -> None:
         # Guards against crowding, where upstreams lose speed, some for long, or turn tasks away: by Little's
-        # law no more is out than is answered in twice the latency of a fleet at ease. Six, over all balancers,
-        # can always be out: an idle upstream has no rate to go by. Half a task less is to round it.
+        # law no more is out than is answered in twice the latency of a fleet at ease. Six, over all
+        # balancers, can always be out: an idle upstream has no rate to go by. Half a task less rounds it.
         rate = seen.answers.rate(self.host.now)
         seen.room = max(1.0, 6.0 / self.balancers, rate * min(2.0 * self.ease, self.agreed * self.ROOM)) - 0.5
 
@@ -429,7 +423,7 @@
         return part >= 1.0 or seen.sends.read(now) < 1.5 * part * max(self.usual_sends, 0.5)
 
     def draws(self, task: Task) -> Iterator[Seen]:
-        """A few random draws by share; where upstreams know keys, a key steers them by weighted rendezvous."""
+        """A few random draws by share; a key steers them, where upstreams know keys, by rendezvous."""
         if task.key and self.warm_keys:
             # Over keys the shares hold, while a key meets the same upstream at every balancer.
             yield from sorted(self.drawn, key=lambda seen: -log(mixed(task.key, seen.salt)) / seen.share)
@@ -458,8 +452,8 @@
             full = seen  # over twice the mean is out there: drawn once more
         if full is not None:
             return full
-        left = [seen for seen in self.pool if self.open_to(seen, task)]
-        return min(left, key=lambda seen: (seen.silence > 4.0, seen.out), default=None)
+        left = [seen for seen in self.sure() if self.open_to(seen, task)]
+        return min(left, key=lambda seen: seen.out, default=None)
 
     def take(self, task: Task) -> str:
         seen, now = self.find(task), self.host.now
@@ -484,9 +478,6 @@
         seen.pull = seen.pull - hand_off.seen if seen.out else 0.0
         if outcome in (FULFILLED, ERROR, FULL):
             seen.answered(now)
-            # Guards against task after task offered to an upstream that is full or fails quickly, and so always
-            # has room: it gets none for as long as its latency now says.
-            seen.shut_until = 0 if outcome == FULFILLED else now + int(workload.seen.usual * seen.ratio(now))
         elif outcome in (NO_CONNECTION, RESET):
             # Guards against an upstream that is down before the list says so.
             seen.silence = max(seen.silence, 5.0)
@@ -495,9 +486,14 @@
         if outcome == FULFILLED:
             workload.seen.took.add(now, hand_off.took)
             workload.seen.answers.add(now)
+            seen.shut_until = 0
         else:
             # Guards against quick failures that look fast: they count as time-outs, with the whole patience.
             seen.missing += max(0, workload.patience - hand_off.took) * hand_off.seen
+            if outcome != TIMED_OUT:
+                # Guards against task after task for an upstream that is full, down or fails quickly, and so
+                # seems to have room: it gets none for as long as its latency now says.
+                seen.shut_until = now + int(workload.seen.usual * seen.ratio(now))
         seen.answers.add(now)
         self.make_room(seen)
 
@@ -511,7 +507,6 @@
             workload.seen = Known(workload, host.now)
         self.entry, self.again = Entry(self, settings), Again(self, settings)
         self.split = Split(self, settings, seed)
-        self.advise = bool(settings.get("limits.retry_after", False))
         self.subscribe = settings.get("discovery") == "subscribe"  # asked for at the next solve
         host.alarm(host.now, SOLVE)
 
@@ -537,7 +532,7 @@
     def came_back(self, hand_off: HandOff, load: dict[str, float] | None, first: bool) -> None:
         """A hand-off has its outcome; `first` if it ended the task. Late ones still count as measured."""
         if load and "fulfilled_rate" in load:
-            hand_off.upstream.seen.reported = load["fulfilled_rate"]
+            hand_off.upstream.seen.given = load["fulfilled_rate"]
         for stage in (self.split, self.again, self.entry):
             stage.back(hand_off, first)
 
@@ -545,7 +540,7 @@
         """The final answer to a task that was not fulfilled: turned back if that is true to say."""
         if self.again.harmless(task) and self.host.now < task.ends:
             # A quarter of the agreed time: a jam has moved on, and the next try can still be in time.
-            self.host.turn_back(task, task.workload.agreed_time // 4 if self.advise else 0)
+            self.host.turn_back(task, task.workload.agreed_time // 4)
         else:
             self.host.scrap(task)
         return END
