--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -173,10 +173,8 @@
     def release(self) -> None:
         """Send on what is held while there is room: the most worth first, of that the oldest."""
         for tasks in self.held.values():
-            while tasks and (tasks[0].ended or self.choice.split.find(tasks[0]) is not None):
-                task = tasks.popleft()
-                if not task.ended:
-                    self.choice.run(task, 1)
+            while tasks and (tasks[0].ended or self.choice.run(tasks[0], 1) != PASS):
+                tasks.popleft()
 
     def expire(self) -> None:
         """Turn back what has been held long enough."""
@@ -193,7 +191,7 @@
             self.answered.add(now)
             if first and now <= task.came + task.workload.agreed_time:
                 task.workload.seen.kept.add(now)
-        if self.waiting():
+        if hand_off.upstream.seen.out < hand_off.upstream.seen.room:
             self.release()
 
 
@@ -283,7 +281,8 @@
         elif task.opened or (others and self.host.now < task.ends):
             pass
         elif hand_off.outcome in NEVER_RAN or self.afford():
-            self.choice.run(task, 1)
+            if self.choice.run(task, 1) == PASS:
+                self.choice.entry.hold(task)
         else:
             self.choice.finish(task)
 
@@ -435,7 +434,6 @@
     def find(self, task: Task) -> Seen | None:
         """The upstream for a task; None where nothing may be sent to."""
         now, most = self.host.now, 2.0 * self.total / max(1, len(self.pool))
-        self.owed += self.TRIALS
         # Trials rather go with tasks that may be repeated: they may meet what answers nothing.
         if self.owed >= (1.0 if task.workload.kind != EXCLUSIVE else 4.0) and not task.hand_offs:
             self.owed = 0.0
@@ -465,6 +463,7 @@
         seen.pull += hand_off.seen
         seen.out += 1
         self.total += 1
+        self.owed += self.TRIALS
         seen.sends.add(now)
         self.choice.again.sent(hand_off)
         return KEEP
@@ -520,14 +519,15 @@
     def arrive(self, task: Task) -> None:
         for count in (self.split.arrived, self.again.tasks, task.workload.seen.asked):
             count.add(self.host.now)
-        self.run(task, 0)
+        if self.run(task, 0) == PASS:
+            self.entry.hold(task)
 
     def run(self, task: Task, first: int) -> str:
-        """Pass a task along the stages; what none could place is held."""
+        """Pass a task along the stages; it comes out again if none could place it."""
         for stage in (self.entry, self.again, self.split)[first:]:
             if (verdict := stage.take(task)) != PASS:
                 return verdict
-        return self.entry.hold(task)
+        return PASS
 
     def came_back(self, hand_off: HandOff, load: dict[str, float] | None, first: bool) -> None:
         """A hand-off has its outcome; `first` if it ended the task. Late ones still count as measured."""
