--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -153,20 +153,18 @@
                 break
         return count
 
-    def until(self, task: Task) -> int:
-        """How long a task may be held; 20 ms before its end at the latest, so that its answer is timely."""
-        return min(task.came + int(self.HOLD * task.workload.agreed_time), task.ends - SECOND // 50)
-
     def take(self, task: Task) -> str:
         return self.hold(task) if self.waiting(task.workload) else PASS
 
     def hold(self, task: Task) -> str:
         """Keep a task until there is room, unless too many wait for it to be reached in time."""
-        now = self.host.now
-        wait = self.until(task) - now
-        if wait <= 0 or self.waiting(task.workload) > 3 + self.answered.rate(now) * wait / SECOND:
+        now, workload = self.host.now, task.workload
+        # 20 ms before its client gives up at the latest, so that its answer is timely.
+        task.seen = min(task.came + int(self.HOLD * workload.agreed_time), task.ends - SECOND // 50)
+        wait = task.seen - now
+        if wait <= 0 or self.waiting(workload) > 3 + self.answered.rate(now) * wait / SECOND:
             return self.choice.finish(task)
-        self.held[task.workload].append(task)
+        self.held[workload].append(task)
         self.choice.wake(now + SECOND // 100)
         return KEEP
 
@@ -179,10 +177,10 @@
     def expire(self) -> None:
         """Turn back what has been held long enough."""
         now = self.host.now
-        for workload, tasks in self.held.items():
-            self.held[workload] = deque(task for task in tasks if self.until(task) > now and not task.ended)
-            for task in tasks:
-                if self.until(task) <= now and not task.ended:
+        for tasks in self.held.values():
+            for task in [task for task in tasks if task.seen <= now or task.ended]:
+                tasks.remove(task)
+                if not task.ended:
                     self.choice.finish(task)
 
     def back(self, hand_off: HandOff, first: bool) -> None:
@@ -412,9 +410,10 @@
     def open_to(self, seen: Seen, task: Task) -> bool:
         """Whether the rules and plain sense let this upstream have the task."""
         upstream, now = seen.upstream, self.host.now
-        if upstream.state != READY or any(sent.upstream is upstream for sent in task.hand_offs):
+        if seen.out >= seen.room or now < seen.shut_until or upstream.state != READY:
             return False
-        if seen.out >= seen.room or now < seen.shut_until or not self.choice.again.fits(task, upstream):
+        if task.hand_offs and (any(sent.upstream is upstream for sent in task.hand_offs)
+                               or not self.choice.again.fits(task, upstream)):
             return False
         # Guards against pushing over a cold upstream: of what others get it takes its part by age, and half
         # as much again at most; every balancer keeps to that by itself.
