--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -58,9 +58,9 @@
 
     # What the story tells.
 
-    def task(self, patience: int = 3000 * MS) -> Task:
+    def task(self, patience: int = 3000 * MS, key: int = 0) -> Task:
         self.tasks += 1
-        made = Task(self.tasks, self.workload, self.now, self.now + patience)
+        made = Task(self.tasks, self.workload, self.now, self.now + patience, key)
         self.choice.arrive(made)
         return made
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -164,3 +164,18 @@
                 failed += 1
         host.wait(10 * MS)
     assert failed < 15
+
+
+def test_a_key_keeps_to_few_upstreams_however_full_the_fleet_is():
+    host = FakeHost(RERUNNABLE, 8, **{"family_info.warm_keys": True})
+    met: dict[int, set[int]] = {}
+    for turn in range(600):
+        key = 1 + turn % 20
+        task = host.task(key=key)
+        met.setdefault(key, set()).update(sent.upstream.id for sent in task.hand_offs[:1])
+        for hand_off in host.out():
+            if hand_off.sent + 400 * MS <= host.now:
+                host.came_back(hand_off)
+        host.wait(10 * MS)
+    assert sum(len(upstreams) for upstreams in met.values()) < 20 * 5
+    assert len(set.union(*met.values())) == 8  # and over keys every upstream is in use
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -13,7 +13,7 @@
 from bisect import bisect_right
 from collections import deque
 from collections.abc import Iterator
-from itertools import accumulate
+from itertools import accumulate, islice
 from math import exp, log
 from random import Random
 from typing import Any
@@ -53,8 +53,6 @@
 class Known:
     """What this balancer has observed of one workload."""
 
-    __slots__ = ("took", "answers", "asked", "kept", "usual")
-
     def __init__(self, workload: Workload, now: int) -> None:
         # 10 s: tells the work of one from the other's, whatever single upstreams do.
         self.took, self.answers, self.asked, self.kept = (Sum(10 * SECOND, now) for _ in range(4))
@@ -171,8 +169,11 @@
     def release(self) -> None:
         """Send on what is held while there is room: the most worth first, of that the oldest."""
         for tasks in self.held.values():
-            while tasks and (tasks[0].ended or self.choice.run(tasks[0], 1) != PASS):
-                tasks.popleft()
+            for task in list(islice(tasks, 20)):  # with keys, some behind the first may go where it may not
+                if task.ended or self.choice.run(task, 1) != PASS:
+                    tasks.remove(task)
+                elif not self.choice.split.warm_keys:
+                    break
 
     def expire(self) -> None:
         """Turn back what has been held long enough."""
@@ -273,11 +274,8 @@
     def back(self, hand_off: HandOff, first: bool) -> None:
         task = hand_off.task
         others = [other for other in task.hand_offs if not other.outcome]
-        if task.ended:
-            if first:
-                self.call_off(others)
-        elif task.opened or (others and self.host.now < task.ends):
-            pass
+        if task.ended or task.opened or (others and self.host.now < task.ends):
+            self.call_off(others if first else [])
         elif hand_off.outcome in NEVER_RAN or self.afford():
             if self.choice.run(task, 1) == PASS:
                 self.choice.entry.hold(task)
@@ -392,8 +390,7 @@
         middle = sum(known.values()) / len(known) if known else 1.0 / mean
         costs = []
         for seen in sure:
-            if seen.given is None:
-                seen.given = max(0.0, middle - 1.0 / mean)
+            seen.given = max(0.0, middle - 1.0 / mean) if seen.given is None else seen.given
             # What was measured counts against three answers at the mean: who is new or was not heard of for
             # long starts from there.
             heard = seen.answers.read(now)
@@ -423,8 +420,9 @@
     def draws(self, task: Task) -> Iterator[Seen]:
         """A few random draws by share; a key steers them, where upstreams know keys, by rendezvous."""
         if task.key and self.warm_keys:
-            # Over keys the shares hold, while a key meets the same upstream at every balancer.
-            yield from sorted(self.drawn, key=lambda seen: -log(mixed(task.key, seen.salt)) / seen.share)
+            # Over keys the shares hold, while a key meets the same upstreams at every balancer. Three: one
+            # alone is overfilled by popular keys (tried), and the rest would have to do the whole work anew.
+            yield from sorted(self.drawn, key=lambda seen: -log(mixed(task.key, seen.salt)) / seen.share)[:3]
         elif self.drawn:
             for _ in range(4):  # enough to pass by the few that are in doubt, full or not allowed
                 place = bisect_right(self.bounds, self.random() * self.bounds[-1])
@@ -447,8 +445,8 @@
             if seen.out <= most or full is not None:
                 return seen
             full = seen  # over twice the mean is out there: drawn once more
-        if full is not None:
-            return full
+        if full is not None or (task.key and self.warm_keys and self.drawn and not task.hand_offs):
+            return full  # a first send with a key rather waits for the upstreams that know it
         left = [seen for seen in self.sure() if self.open_to(seen, task)]
         return min(left, key=lambda seen: seen.out, default=None)
 
