--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -179,3 +179,11 @@
         host.wait(10 * MS)
     assert sum(len(upstreams) for upstreams in met.values()) < 20 * 5
     assert len(set.union(*met.values())) == 8  # and over keys every upstream is in use
+
+
+@pytest.mark.parametrize("balancers, most", [(1, 8 * 6), (12, 8 * 6 // 12)])
+def test_many_balancers_each_keep_to_their_part_of_an_idle_fleet(balancers, most):
+    host = FakeHost(EXCLUSIVE, 8, balancers=balancers)
+    for _ in range(100):
+        host.task()
+    assert len(host.sent) == most
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -63,13 +63,13 @@
     """What this balancer has observed of one upstream."""
 
     __slots__ = ("upstream", "salt", "out", "pull", "silence", "missing", "at", "heard", "due", "answers",
-                 "sends", "share", "given", "room", "shut_until")
+                 "sends", "share", "given", "part", "room", "shut_until")
 
     def __init__(self, upstream: Upstream, now: int, span: int) -> None:
         self.upstream, self.salt = upstream, upstream.id * 0x9E3779B97F4A7C15
         self.due, self.answers, self.sends = Sum(span, now), Sum(span, now), Sum(SECOND, now)
         self.out, self.pull, self.silence, self.missing, self.at, self.heard = 0, 0.0, 0.0, 0.0, now, now
-        self.share, self.room, self.shut_until = 0.0, 1.0, 0
+        self.share, self.part, self.room, self.shut_until = 0.0, 1.0, 1.0, 0
         self.given: float | None = None  # its rate, smoothed as its latency is
 
     def watch(self, now: int) -> None:
@@ -283,7 +283,6 @@
             self.choice.finish(task)
 
     def call_off(self, hand_offs: list[HandOff]) -> None:
-        """Stop waiting for what is no longer needed."""
         for hand_off in hand_offs:
             if not hand_off.outcome and self.cancelling:
                 self.host.withdraw(hand_off)
@@ -292,7 +291,6 @@
 class Split:
     """Last stage: draws an upstream by the shares of the min-max solve and hands the task over."""
 
-    ROOM = 0.3  # of the agreed time at most for the mean latency: the rest is for its spread and waiting here
     TRIALS = 0.01  # of sends, to idle upstreams; the design page's
 
     def __init__(self, choice: Choice, settings: dict[str, Any], seed: int) -> None:
@@ -311,7 +309,7 @@
         self.span = 3 * SECOND
         self.arrived = Sum(self.span, self.host.now)
         self.agreed = min(workload.agreed_time for workload in choice.workloads) / SECOND
-        self.ease = self.agreed  # the least mean latency of late, in seconds as the agreed time
+        self.ease = self.agreed / 5  # the least mean latency of late, in seconds; a start until it is known
         self.total, self.owed, self.usual_sends = 0, 0.0, 0.0
 
     def listed(self, upstreams: list[Upstream]) -> None:
@@ -366,8 +364,7 @@
         took = answers = agreed = payoff = 0.0
         for workload in self.choice.workloads:
             known, answered = workload.seen, workload.seen.answers.read(now)
-            if answered > 0.5:
-                known.usual = known.took.read(now) / answered
+            known.usual = known.took.read(now) / answered if answered > 0.5 else known.usual
             answers += answered
             took += known.took.value
             payoff += workload.payoff * answered
@@ -399,10 +396,11 @@
 
     def make_room(self, seen: Seen) -> None:
         # Guards against crowding, where upstreams lose speed, some for long, or turn tasks away: by Little's
-        # law no more is out than is answered in twice the latency of a fleet at ease. Six, over all
-        # balancers, can always be out: an idle upstream has no rate to go by. Half a task less rounds it.
+        # law no more is out than is answered in half as much again as the latency of a fleet at ease. Six,
+        # over all balancers, can always be out: an idle upstream has no rate to go by.
         rate = seen.answers.rate(self.host.now)
-        seen.room = max(1.0, 6.0 / self.balancers, rate * min(2.0 * self.ease, self.agreed * self.ROOM)) - 0.5
+        seen.part = max(6.0 / self.balancers, rate * 1.5 * self.ease)
+        seen.room = max(1.0, seen.part) - 0.5  # rounded to whole tasks
 
     def open_to(self, seen: Seen, task: Task) -> bool:
         """Whether the rules and plain sense let this upstream have the task."""
@@ -431,6 +429,10 @@
     def find(self, task: Task) -> Seen | None:
         """The upstream for a task; None where nothing may be sent to."""
         now, most = self.host.now, 2.0 * self.total / max(1, len(self.pool))
+        # Guards against many balancers that each round up to one: all its parts together bound what is out.
+        sound = [seen for seen in self.pool if seen.silence <= 4.0]
+        if sum(seen.out for seen in sound) >= max(1.0, sum(seen.part for seen in sound)):
+            return None
         # Trials rather go with tasks that may be repeated: they may meet what answers nothing.
         if self.owed >= (1.0 if task.workload.kind != EXCLUSIVE else 4.0) and not task.hand_offs:
             self.owed = 0.0
@@ -543,7 +545,6 @@
         return END
 
     def left(self, task: Task) -> None:
-        """The client is gone."""
         self.again.call_off([] if task.opened else task.hand_offs)
 
     def opened(self, hand_off: HandOff) -> None:
