--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -382,7 +382,7 @@
         for seen in sure:
             if seen.given is not None:
                 # Where crossing zones has its price, it is added to the curve of a distant upstream as time.
-                far = 3.0 * self.crossing * self.agreed if seen.upstream.zone != self.zone else 0.0
+                far = self.crossing * self.agreed if seen.upstream.zone != self.zone else 0.0
                 known[seen] = 1.0 / (mean * seen.ratio(now) + far) + seen.given
         middle = sum(known.values()) / len(known) if known else 1.0 / mean
         costs = []
