--- /dev/null
+++ b/tests/test_simhost.py
@@ -0,0 +1,78 @@
+"""Stories of the adapter's door: what it answers, and how it fails."""
+
+import io
+import struct
+import sys
+
+import pytest
+
+from whinpier.model import WireError
+from whinpier.simhost import wire
+from whinpier.simhost.__main__ import Process, main
+
+SETTINGS = """balancers=1
+discovery=automatic
+limits.max_hand_offs=3
+later.setting=kept
+workloads.count=1
+workloads.0.agreed_time_us=800000
+workloads.0.patience_us=3000000
+workloads.0.payoff=5.0
+workloads.0.semantics=once
+zone=0
+"""
+
+
+def record(code: int, fields: bytes) -> bytes:
+    return struct.pack("<BI", code, len(fields)) + fields
+
+
+def up(settings: str = SETTINGS) -> bytes:
+    text = settings.encode()
+    return record(90, struct.pack("<IQI", 3, 7, len(text)) + text)
+
+
+def actions(reply: bytes) -> list[tuple[int, bytes]]:
+    _, count, length = struct.unpack_from("<III", reply)
+    at, found = 12, []
+    for _ in range(count):
+        code, size = struct.unpack_from("<BI", reply, at)
+        found.append((code, reply[at + 5:at + 5 + size]))
+        at += 5 + size
+    assert at == 12 + length
+    return found
+
+
+def test_a_task_goes_to_the_upstream_of_the_latest_list_of_its_number():
+    gone = struct.pack("<IIBIHQfHH", 2, 1, 1, 111, 0, 0, 1.0, 0, 0)
+    ready = struct.pack("<IIBIHQfHH", 2, 1, 1, 222, 0, 0, 1.0, 0, 0)
+    told = record(100, struct.pack("<IBII", 3, wire.SCOPE_FULL, 1, 2))
+    came = record(50, struct.pack("<IIBQIQBI", 3, 99, 0, 0, 0, 9_000_000, 0, 0))
+    strange = record(250, b"??")  # an event of a later wire is skipped
+    body = up() + record(10, gone) + told + strange + record(10, ready) + told + came
+    sent = [fields for code, fields in actions(Process().batch(1, 7, 6_000_000_000, body)) if code == 60]
+    assert [struct.unpack("<IIIQ", fields)[:3] for fields in sent] == [(3, 99, 222)]
+
+
+@pytest.mark.parametrize("body, count, text", [
+    (up()[:-4], 1, "runs past the end"),
+    (up(), 2, "is missing"),
+    (up() + b"!", 1, "after the last record"),
+    (record(60, b"\x03\x00"), 1, "expected"),
+    (up(SETTINGS.replace("workloads.0.patience_us", "other")), 1, "workloads.0.patience is missing"),
+])
+def test_what_cannot_be_read_is_said_plainly(body, count, text):
+    with pytest.raises(WireError, match=text):
+        Process().batch(1, count, 0, body)
+
+
+@pytest.mark.parametrize("given, code", [(b"", 0), (b"\x01\x00", 1), (struct.pack("<IIIQ", 1, 0, 8, 5), 0)])
+def test_the_end_of_input_is_no_fault_but_half_a_frame_is(monkeypatch, capsysbinary, given, code):
+    monkeypatch.setattr(sys, "stdin", io.TextIOWrapper(io.BytesIO(given)))
+    assert main() == code
+    assert bool(capsysbinary.readouterr().err) == bool(code)
+
+
+def test_what_is_absent_negative_or_no_number_is_not_reported():
+    packed = struct.pack("<3f", float("nan"), -1.0, 4.0)
+    assert wire.report(packed, 3, ["waiting", "service_ms", "scrapped_rate"]) == {"scrapped_rate": 4.0}
