--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -62,6 +62,7 @@
 class Seen:
     """What this balancer has observed of one upstream."""
 
+    DOUBT = 4.0  # answers overdue: by chance once in e^4, about one in fifty
     __slots__ = ("upstream", "salt", "out", "pull", "silence", "missing", "at", "heard", "due", "answers",
                  "sends", "share", "given", "part", "room", "shut_until")
 
@@ -91,11 +92,11 @@
 
     def doubted(self, now: int, but: HandOff | None = None) -> bool:
         # Guards against an upstream that takes tasks and answers none: the age of what is out bounds its
-        # latency from below. Four answers overdue happen by chance once in e^4, about one in fifty.
+        # latency from below.
         self.watch(now)
         # For `but`, a heavy task must not pass for a silent upstream: without it, one more must be overdue.
         alone = (now - max(but.sent, self.heard)) * but.seen if but else 0.0
-        return self.silence > 4.0 and self.silence - alone > 1.0
+        return self.silence > self.DOUBT and self.silence - alone > 1.0
 
 
 def level(costs: list[float], rate: float) -> list[float]:
@@ -430,7 +431,7 @@
         """The upstream for a task; None where nothing may be sent to."""
         now, most = self.host.now, 2.0 * self.total / max(1, len(self.pool))
         # Guards against many balancers that each round up to one: all its parts together bound what is out.
-        sound = [seen for seen in self.pool if seen.silence <= 4.0]
+        sound = [seen for seen in self.pool if seen.silence <= Seen.DOUBT]
         if sum(seen.out for seen in sound) >= max(1.0, sum(seen.part for seen in sound)):
             return None
         # Trials rather go with tasks that may be repeated: they may meet what answers nothing.
