--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -63,8 +63,6 @@
     """What this balancer has observed of one upstream."""
 
     DOUBT = 4.0  # answers overdue: by chance once in e^4, about one in fifty
-    __slots__ = ("upstream", "salt", "out", "pull", "silence", "missing", "at", "heard", "due", "answers",
-                 "sends", "share", "given", "part", "room", "shut_until")
 
     def __init__(self, upstream: Upstream, now: int, span: int) -> None:
         self.upstream, self.salt = upstream, upstream.id * 0x9E3779B97F4A7C15
@@ -95,7 +93,7 @@
         # latency from below.
         self.watch(now)
         # For `but`, a heavy task must not pass for a silent upstream: without it, one more must be overdue.
-        alone = (now - max(but.sent, self.heard)) * but.seen if but else 0.0
+        alone = (now - max(but.sent, self.heard)) * but.pull if but else 0.0
         return self.silence > self.DOUBT and self.silence - alone > 1.0
 
 
@@ -133,13 +131,13 @@
     def rank(self) -> None:
         """Order the workloads by what their tasks add for the work they cost, the worst served lifted."""
         now = self.host.now
-        asked = {workload: workload.seen.asked.read(now) + 1.0 for workload in self.held}
-        least = min(self.held, key=lambda workload: workload.seen.kept.read(now) / asked[workload])
+        asked = {workload: workload.known.asked.read(now) + 1.0 for workload in self.held}
+        least = min(self.held, key=lambda workload: workload.known.kept.read(now) / asked[workload])
         payoff = sum(workload.payoff * count for workload, count in asked.items())
 
         def worth(workload: Workload) -> float:
             lift = self.worst / asked[workload] if workload is least else 0.0
-            return (self.whole * workload.payoff / payoff + lift) / workload.seen.usual
+            return (self.whole * workload.payoff / payoff + lift) / workload.known.usual
 
         self.held = {workload: self.held[workload] for workload in sorted(self.held, key=worth, reverse=True)}
 
@@ -159,8 +157,8 @@
         """Keep a task until there is room, unless too many wait for it to be reached in time."""
         now, workload = self.host.now, task.workload
         # 20 ms before its client gives up at the latest, so that its answer is timely.
-        task.seen = min(task.came + int(self.HOLD * workload.agreed_time), task.ends - SECOND // 50)
-        wait = task.seen - now
+        task.held_until = min(task.came + int(self.HOLD * workload.agreed_time), task.ends - SECOND // 50)
+        wait = task.held_until - now
         if wait <= 0 or self.waiting(workload) > 3 + self.answered.rate(now) * wait / SECOND:
             return self.choice.finish(task)
         self.held[workload].append(task)
@@ -180,7 +178,7 @@
         """Turn back what has been held long enough."""
         now = self.host.now
         for tasks in self.held.values():
-            for task in [task for task in tasks if task.seen <= now or task.ended]:
+            for task in [task for task in tasks if task.held_until <= now or task.ended]:
                 tasks.remove(task)
                 if not task.ended:
                     self.choice.finish(task)
@@ -190,7 +188,7 @@
         if hand_off.outcome == FULFILLED:
             self.answered.add(now)
             if first and now <= task.came + task.workload.agreed_time:
-                task.workload.seen.kept.add(now)
+                task.workload.known.kept.add(now)
         if hand_off.upstream.seen.out < hand_off.upstream.seen.room:
             self.release()
 
@@ -253,7 +251,7 @@
     def sent(self, hand_off: HandOff) -> None:
         """Look again at a repeatable task when its answer is late."""
         workload = hand_off.task.workload
-        due = self.host.now + int(self.LATE * workload.seen.usual)
+        due = self.host.now + int(self.LATE * workload.known.usual)
         if workload.kind != EXCLUSIVE and self.second_copies and due < hand_off.task.ends:
             self.count += 1
             heapq.heappush(self.due, (due, self.count, hand_off))
@@ -364,7 +362,7 @@
         """Mean latency in seconds over the mix of workloads as it comes; 0 while nothing is known."""
         took = answers = agreed = payoff = 0.0
         for workload in self.choice.workloads:
-            known, answered = workload.seen, workload.seen.answers.read(now)
+            known, answered = workload.known, workload.known.answers.read(now)
             known.usual = known.took.read(now) / answered if answered > 0.5 else known.usual
             answers += answered
             took += known.took.value
@@ -459,8 +457,8 @@
             return PASS  # nothing may be sent to: whoever called knows what is left to do
         hand_off = self.host.hand_off(task, seen.upstream)
         seen.watch(now)
-        hand_off.seen = 1.0 / task.workload.seen.usual  # the answers due of it in a nanosecond
-        seen.pull += hand_off.seen
+        hand_off.pull = 1.0 / task.workload.known.usual  # the answers due of it in a nanosecond
+        seen.pull += hand_off.pull
         seen.out += 1
         self.total += 1
         self.owed += self.TRIALS
@@ -474,7 +472,7 @@
         seen.watch(now)
         seen.out -= 1
         self.total -= 1
-        seen.pull = seen.pull - hand_off.seen if seen.out else 0.0
+        seen.pull = seen.pull - hand_off.pull if seen.out else 0.0
         if outcome in (FULFILLED, ERROR, FULL):
             seen.answered(now)
         elif outcome in (NO_CONNECTION, RESET):
@@ -483,16 +481,16 @@
         if outcome in (MOOT, WITHDRAWN):
             return  # its time is counted, an answer never came
         if outcome == FULFILLED:
-            workload.seen.took.add(now, hand_off.took)
-            workload.seen.answers.add(now)
+            workload.known.took.add(now, hand_off.took)
+            workload.known.answers.add(now)
             seen.shut_until = 0
         else:
             # Guards against quick failures that look fast: they count as time-outs, with the whole patience.
-            seen.missing += max(0, workload.patience - hand_off.took) * hand_off.seen
+            seen.missing += max(0, workload.patience - hand_off.took) * hand_off.pull
             if outcome != TIMED_OUT:
                 # Guards against task after task for an upstream that is full, down or fails quickly, and so
                 # seems to have room: it gets none for as long as its latency now says.
-                seen.shut_until = now + int(workload.seen.usual * seen.ratio(now))
+                seen.shut_until = now + int(workload.known.usual * seen.ratio(now))
         seen.answers.add(now)
         self.make_room(seen)
 
@@ -503,7 +501,7 @@
     def __init__(self, host: Host, settings: dict[str, Any], workloads: list[Workload], seed: int) -> None:
         self.host, self.workloads, self.next_wake = host, workloads, 0
         for workload in workloads:
-            workload.seen = Known(workload, host.now)
+            workload.known = Known(workload, host.now)
         self.entry, self.again = Entry(self, settings), Again(self, settings)
         self.split = Split(self, settings, seed)
         self.subscribe = settings.get("discovery") == "subscribe"  # asked for at the next solve
@@ -517,7 +515,7 @@
         self.subscribe = True
 
     def arrive(self, task: Task) -> None:
-        for count in (self.split.arrived, self.again.tasks, task.workload.seen.asked):
+        for count in (self.split.arrived, self.again.tasks, task.workload.known.asked):
             count.add(self.host.now)
         if self.run(task, 0) == PASS:
             self.entry.hold(task)
--- a/whinpier/model.py
+++ b/whinpier/model.py
@@ -35,7 +35,7 @@
     window: int = 0
     streamed: bool = False
     stretch: float = 0.0
-    seen: Any = None  # the decisions' own notes
+    known: Any = None  # what the decisions have observed of it
 
 
 @dataclass(slots=True, eq=False)
@@ -49,7 +49,7 @@
     started: int  # 0: long ago
     size: float = 1.0
     shape: int = 0
-    seen: Any = None  # the decisions' own notes
+    seen: Any = None  # what the decisions have observed of it
 
 
 @dataclass(slots=True, eq=False)
@@ -68,7 +68,7 @@
     hand_offs: list[HandOff] = field(default_factory=list)
     ended: bool = False
     opened: bool = False  # its answer has begun to stream
-    seen: Any = None  # the decisions' own notes
+    held_until: int = 0  # by the decisions, at the latest
 
 
 @dataclass(slots=True, eq=False)
@@ -81,7 +81,7 @@
     sent: int
     outcome: str | None = None
     took: int = 0
-    seen: Any = None  # the decisions' own notes
+    pull: float = 0.0  # answers due of it in a nanosecond, by the decisions' count
 
 
 class Host(Protocol):
