A balancer keeps to every n-th upstream of the sorted list, from a start of its own

Change: a part of the list, one upstream for each task a second, four at least, twenty balancers' worth in a small bank; kept over list changes, others besides where most are in doubt. Where upstreams know keys: the whole list.

--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -56,6 +56,9 @@
     def follow_list(self, on):
         pass
 
+    def close_idle(self, upstream):
+        pass
+
     # What the story tells.
 
     def task(self, patience: int = 3000 * MS, key: int = 0) -> Task:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,5 +1,7 @@
 """Short stories: one for each rule and each failure met."""
 
+from collections import Counter
+
 import pytest
 
 from tests.fake_host import MS, FakeHost
@@ -187,3 +189,29 @@
     for _ in range(100):
         host.task()
     assert len(host.sent) == most
+
+
+@pytest.mark.parametrize("balancers, count", [(400, 80), (400, 3), (30, 80), (1, 80), (0, 80), (400, 1)])
+def test_a_large_bank_spreads_its_connections_evenly_over_a_large_fleet(balancers, count):
+    met = Counter()
+    for number in range(max(1, balancers)):
+        host = FakeHost(EXCLUSIVE, count, balancers=balancers, slot_no=number)
+        met.update(seen.upstream.id for seen in host.choice.split.pool)
+    assert len(met) == count and max(met.values()) <= min(max(1, balancers), 2 * min(met.values()))
+    assert balancers < 400 or count < 80 or max(met.values()) < 40
+
+
+def test_a_balancer_whose_upstreams_all_fall_silent_takes_others_besides():
+    host = FakeHost(EXCLUSIVE, 80, balancers=400, slot_no=399)
+    first = list(host.choice.split.pool)
+    host.traffic(6 * SECOND, every=200 * MS, takes=lambda upstream: None if upstream.seen in first else 50 * MS)
+    assert {sent.upstream.seen for sent in host.sent[-4:]}.isdisjoint(first)
+
+
+def test_a_list_that_shrinks_and_grows_keeps_what_is_connected_and_meets_who_is_new():
+    host = FakeHost(EXCLUSIVE, 80, balancers=100)
+    before = set(host.choice.split.pool)
+    host.choice.listed(host.upstreams[40:])
+    assert before & {up.seen for up in host.upstreams[40:]} <= set(host.choice.split.pool)
+    host.choice.listed(host.upstreams[40:] + [Upstream(n, READY, 0, 0, 0) for n in range(200, 300)])
+    assert any(seen.upstream.id >= 200 for seen in host.choice.split.pool)
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -143,12 +143,9 @@
 
     def waiting(self, workload: Workload | None = None) -> int:
         """How many are held, or of those how many would go before a new task of a workload."""
-        count = 0
-        for other, tasks in self.held.items():
-            count += len(tasks)
-            if other is workload:
-                break
-        return count
+        first = list(self.held)
+        first = first[:first.index(workload) + 1] if workload else first
+        return sum(len(self.held[other]) for other in first)
 
     def take(self, task: Task) -> str:
         return self.hold(task) if self.waiting(task.workload) else PASS
@@ -176,9 +173,8 @@
 
     def expire(self) -> None:
         """Turn back what has been held long enough."""
-        now = self.host.now
         for tasks in self.held.values():
-            for task in [task for task in tasks if task.held_until <= now or task.ended]:
+            for task in [task for task in tasks if task.held_until <= self.host.now or task.ended]:
                 tasks.remove(task)
                 if not task.ended:
                     self.choice.finish(task)
@@ -187,8 +183,7 @@
         now, task = self.host.now, hand_off.task
         if hand_off.outcome == FULFILLED:
             self.answered.add(now)
-            if first and now <= task.came + task.workload.agreed_time:
-                task.workload.known.kept.add(now)
+            task.workload.known.kept.add(now, float(first and now <= task.came + task.workload.agreed_time))
         if hand_off.upstream.seen.out < hand_off.upstream.seen.room:
             self.release()
 
@@ -202,20 +197,17 @@
     def __init__(self, choice: Choice, settings: dict[str, Any]) -> None:
         self.choice, self.host = choice, choice.host
         self.most = int(settings.get("limits.max_hand_offs", 1))
-        self.second_copies = bool(settings.get("limits.second_copies", False))
-        self.cancelling = bool(settings.get("limits.cancelling", False))
+        self.second_copies = settings.get("limits.second_copies", False)
+        self.cancelling = settings.get("limits.cancelling", False)
         self.tasks, self.copies = Sum(5 * SECOND, self.host.now), Sum(5 * SECOND, self.host.now)
         self.due: list[tuple[int, int, HandOff]] = []
         self.count = 0
 
     def take(self, task: Task) -> str:
-        if task.hand_offs and not self.allowed(task):
-            return self.choice.finish(task)
-        return PASS
+        return PASS if not task.hand_offs or self.allowed(task) else self.choice.finish(task)
 
     @staticmethod
     def may_have_run(task: Task) -> HandOff | None:
-        """The first hand-off that is not known not to have run."""
         return next((hand_off for hand_off in task.hand_offs if hand_off.outcome not in NEVER_RAN), None)
 
     def allowed(self, task: Task) -> bool:
@@ -258,8 +250,7 @@
             self.choice.wake(due)
 
     def check(self) -> None:
-        """Send second copies of what sits at an upstream in doubt."""
-        # Not of what is merely late: that is mostly heavy, and copies of the dearest work tip a fleet over.
+        """Send second copies of what an upstream in doubt holds: copies of what is only heavy tip a fleet."""
         while self.due and self.due[0][0] <= self.host.now:
             hand_off = heapq.heappop(self.due)[2]
             task = hand_off.task
@@ -291,24 +282,31 @@
     """Last stage: draws an upstream by the shares of the min-max solve and hands the task over."""
 
     TRIALS = 0.01  # of sends, to idle upstreams; the design page's
+    LEAST = 4  # upstreams to choose from: with one bad and one full there are still two
+    TABLE = 20  # balancers at an upstream that can't hurt: tables hold tens
 
     def __init__(self, choice: Choice, settings: dict[str, Any], seed: int) -> None:
         self.choice, self.host = choice, choice.host
         chance = Random(seed)
         self.random, self.pick = chance.random, chance.choice
-        self.balancers = max(1, int(settings.get("balancers", 1)))
+        self.balancers = self.sharing = max(1, int(settings.get("balancers", 1)))
+        self.number = int(settings.get("slot_no", 0))
         self.zone = settings.get("zone", 0)
-        self.crossing = float(settings.get("prices.cross_zone", 0.0))
         self.warm_keys = bool(settings.get("family_info.warm_keys", False))
         self.cold_from = float(settings.get("rules.cold_from", 1.0))
         self.cold = int(settings.get("rules.cold", 0))  # the time it takes to warm up
-        self.pool: list[Seen] = []  # what may be sent to
+        self.ready: list[Seen] = []  # what is listed as ready, sorted
+        self.pool: list[Seen] = []  # the part of it that this balancer keeps to
         self.drawn: list[Seen] = []  # those with a share
         self.bounds: list[float] = []  # running sums of their shares
         self.span = 3 * SECOND
         self.arrived = Sum(self.span, self.host.now)
-        self.agreed = min(workload.agreed_time for workload in choice.workloads) / SECOND
-        self.ease = self.agreed / 5  # the least mean latency of late, in seconds; a start until it is known
+        payoff = sum(workload.payoff for workload in choice.workloads)  # what is worth most sets the time
+        agreed = sum(work.payoff * work.agreed_time for work in choice.workloads) / payoff / SECOND
+        # The least mean latency of late, in seconds; a start until it is known.
+        self.ease = min(workload.agreed_time for workload in choice.workloads) / SECOND / 5
+        # Where crossing zones has its price, it is added to the curve of a distant upstream as time.
+        self.crossing = float(settings.get("prices.cross_zone", 0.0)) * agreed
         self.total, self.owed, self.usual_sends = 0, 0.0, 0.0
 
     def listed(self, upstreams: list[Upstream]) -> None:
@@ -316,15 +314,41 @@
         for upstream in upstreams:
             if upstream.seen is None:
                 upstream.seen = Seen(upstream, self.host.now, self.span)
-        self.pool = [upstream.seen for upstream in upstreams if upstream.state == READY]
+        ready = sorted((up.seen for up in upstreams if up.state == READY), key=lambda seen: seen.upstream.id)
+        # Who joins a list is taken up by chance, so that it meets as many balancers as the others.
+        part = self.want(len(ready)) / max(1, len(ready)) if self.ready else 0.0
+        kept, self.ready = (self.pool, self.ready), ready
+        self.pool = [seen for seen in ready if seen in kept[0] or seen not in kept[1] and self.random() < part]
         self.solve()
 
+    def want(self, count: int) -> int:
+        """How many upstreams of a list to keep to."""
+        if self.warm_keys:
+            return count  # a key should meet the same upstreams at every balancer
+        # Guards against full connection tables and against knowing little of many: one for each task a second
+        # (ten answers of each in the longest smoothing time), or what a small bank can have without harm.
+        return min(count, max(self.LEAST, int(self.arrived.rate(self.host.now)),
+                              self.TABLE * count // self.balancers))
+
+    def choose(self) -> None:
+        """Keep to every n-th upstream of the sorted list, from a start of this balancer's own."""
+        pool, count = self.pool, len(self.ready)
+        want, sound = self.want(count), sum(not seen.doubted(self.host.now) for seen in pool)
+        if want == count:
+            pool = list(self.ready)
+        # In steps, and with what is connected kept. If most of them are in doubt others are taken besides.
+        elif 4 * min(len(pool), 2 * sound) <= 3 * want:
+            step, start, held = count // want, self.number * count // self.balancers, set(pool)
+            walk = (self.ready[(start + at) % count] for at in sorted(range(count), key=lambda at: at % step))
+            pool += islice((seen for seen in walk if seen not in held), max(1, want - sound))
+        while len(pool) > 1.5 * want + 1:
+            self.host.close_idle(pool.pop(int(self.random() * len(pool))).upstream)
+        self.pool, self.sharing = pool, max(1.0, self.balancers * len(pool) / max(1, count))
+
     def age(self, upstream: Upstream) -> float:
-        """What part of its full weight a fresh upstream has by its age."""
         old = self.host.now - upstream.started
-        if not upstream.started or old >= self.cold:
-            return 1.0
-        return self.cold_from + (1.0 - self.cold_from) * max(0, old) / self.cold
+        warm = not upstream.started or old >= self.cold
+        return 1.0 if warm else self.cold_from + (1.0 - self.cold_from) * max(0, old) / self.cold
 
     def sure(self) -> list[Seen]:
         """Those that answer. Where most seem silent at once it is no fault of theirs: then all of them."""
@@ -333,9 +357,10 @@
 
     def solve(self) -> None:
         """Find the shares for the next period."""
+        self.choose()
         now, pool, sure = self.host.now, self.pool, self.sure()
         own, mean = self.arrived.rate(now), self.measure(now)
-        rate = own * self.balancers
+        rate = own * self.sharing  # of all balancers, at these upstreams
         # Latencies fade over the time it takes to hear some thirty answers of each: fewer say little where
         # tasks differ much. Bounds: three seconds, and half of what a trouble usually lasts.
         self.span = int(min(max(30.0 * len(pool) / max(own, 1.0), 3.0), 10.0) * SECOND)
@@ -360,15 +385,12 @@
 
     def measure(self, now: int) -> float:
         """Mean latency in seconds over the mix of workloads as it comes; 0 while nothing is known."""
-        took = answers = agreed = payoff = 0.0
+        took = answers = 0.0
         for workload in self.choice.workloads:
             known, answered = workload.known, workload.known.answers.read(now)
             known.usual = known.took.read(now) / answered if answered > 0.5 else known.usual
             answers += answered
             took += known.took.value
-            payoff += workload.payoff * answered
-            agreed += workload.payoff * answered * workload.agreed_time
-        self.agreed = agreed / payoff / SECOND if payoff > 0.0 else self.agreed  # what is worth most sets it
         mean = took / answers / SECOND if answers > 0.5 else 0.0
         if answers > 50.0:  # fewer come from the quickest tasks only
             # Forgotten by a hundredth a second: slower than any trouble, quick enough for a new mix.
@@ -380,15 +402,13 @@
         now, known = self.host.now, {}
         for seen in sure:
             if seen.given is not None:
-                # Where crossing zones has its price, it is added to the curve of a distant upstream as time.
-                far = self.crossing * self.agreed if seen.upstream.zone != self.zone else 0.0
+                far = self.crossing if seen.upstream.zone != self.zone else 0.0
                 known[seen] = 1.0 / (mean * seen.ratio(now) + far) + seen.given
         middle = sum(known.values()) / len(known) if known else 1.0 / mean
         costs = []
         for seen in sure:
             seen.given = max(0.0, middle - 1.0 / mean) if seen.given is None else seen.given
-            # What was measured counts against three answers at the mean: who is new or was not heard of for
-            # long starts from there.
+            # What was measured counts against three answers at the mean: who is little heard of is near it.
             heard = seen.answers.read(now)
             costs.append((heard + 3.0) / (heard * known.get(seen, middle) + 3.0 * middle))
         return costs
@@ -397,20 +417,17 @@
         # Guards against crowding, where upstreams lose speed, some for long, or turn tasks away: by Little's
         # law no more is out than is answered in half as much again as the latency of a fleet at ease. Six,
         # over all balancers, can always be out: an idle upstream has no rate to go by.
-        rate = seen.answers.rate(self.host.now)
-        seen.part = max(6.0 / self.balancers, rate * 1.5 * self.ease)
+        seen.part = max(6.0 / self.sharing, seen.answers.rate(self.host.now) * 1.5 * self.ease)
         seen.room = max(1.0, seen.part) - 0.5  # rounded to whole tasks
 
     def open_to(self, seen: Seen, task: Task) -> bool:
         """Whether the rules and plain sense let this upstream have the task."""
         upstream, now = seen.upstream, self.host.now
-        if seen.out >= seen.room or now < seen.shut_until or upstream.state != READY:
-            return False
-        if task.hand_offs and (any(sent.upstream is upstream for sent in task.hand_offs)
-                               or not self.choice.again.fits(task, upstream)):
+        if (seen.out >= seen.room or now < seen.shut_until or upstream.state != READY
+                or any(sent.upstream is upstream for sent in task.hand_offs)
+                or task.hand_offs and not self.choice.again.fits(task, upstream)):
             return False
-        # Guards against pushing over a cold upstream: of what others get it takes its part by age, and half
-        # as much again at most; every balancer keeps to that by itself.
+        # Guards against pushing over a cold upstream: its part by age of what others get, half more at most.
         part = self.age(upstream)
         return part >= 1.0 or seen.sends.read(now) < 1.5 * part * max(self.usual_sends, 0.5)
 
@@ -422,8 +439,8 @@
             yield from sorted(self.drawn, key=lambda seen: -log(mixed(task.key, seen.salt)) / seen.share)[:3]
         elif self.drawn:
             for _ in range(4):  # enough to pass by the few that are in doubt, full or not allowed
-                place = bisect_right(self.bounds, self.random() * self.bounds[-1])
-                yield self.drawn[min(place, len(self.drawn) - 1)]
+                point = self.random() * self.bounds[-1]
+                yield self.drawn[bisect_right(self.bounds, point, 0, len(self.drawn) - 1)]
 
     def find(self, task: Task) -> Seen | None:
         """The upstream for a task; None where nothing may be sent to."""
@@ -439,16 +456,13 @@
                     and (seen.share == 0.0 or seen.doubted(now))]
             if idle:
                 return self.pick(idle)
-        full = None
-        for seen in self.draws(task):
-            if seen.doubted(now) or not self.open_to(seen, task):
-                continue
-            if seen.out <= most or full is not None:
-                return seen
-            full = seen  # over twice the mean is out there: drawn once more
-        if full is not None or (task.key and self.warm_keys and self.drawn and not task.hand_offs):
-            return full  # a first send with a key rather waits for the upstreams that know it
-        left = [seen for seen in self.sure() if self.open_to(seen, task)]
+        fit = (seen for seen in self.draws(task) if not seen.doubted(now) and self.open_to(seen, task))
+        found = next(fit, None)
+        if found is not None and found.out > most:
+            found = next(fit, found)  # over twice the mean is out there: drawn once more
+        if found is not None or (task.key and self.warm_keys and self.drawn and not task.hand_offs):
+            return found  # a first send with a key rather waits for the upstreams that know it
+        left = (seen for seen in self.sure() if self.open_to(seen, task))
         return min(left, key=lambda seen: seen.out, default=None)
 
     def take(self, task: Task) -> str:
@@ -459,9 +473,7 @@
         seen.watch(now)
         hand_off.pull = 1.0 / task.workload.known.usual  # the answers due of it in a nanosecond
         seen.pull += hand_off.pull
-        seen.out += 1
-        self.total += 1
-        self.owed += self.TRIALS
+        seen.out, self.total, self.owed = seen.out + 1, self.total + 1, self.owed + self.TRIALS
         seen.sends.add(now)
         self.choice.again.sent(hand_off)
         return KEEP
@@ -470,14 +482,12 @@
         seen, now, outcome = hand_off.upstream.seen, self.host.now, hand_off.outcome
         workload = hand_off.task.workload
         seen.watch(now)
-        seen.out -= 1
-        self.total -= 1
+        seen.out, self.total = seen.out - 1, self.total - 1
         seen.pull = seen.pull - hand_off.pull if seen.out else 0.0
         if outcome in (FULFILLED, ERROR, FULL):
             seen.answered(now)
         elif outcome in (NO_CONNECTION, RESET):
-            # Guards against an upstream that is down before the list says so.
-            seen.silence = max(seen.silence, 5.0)
+            seen.silence = max(seen.silence, 5.0)  # guards against one that is down before the list says so
         if outcome in (MOOT, WITHDRAWN):
             return  # its time is counted, an answer never came
         if outcome == FULFILLED:
@@ -511,9 +521,6 @@
         self.split.listed(upstreams)
         self.entry.release()
 
-    def list_failed(self) -> None:
-        self.subscribe = True
-
     def arrive(self, task: Task) -> None:
         for count in (self.split.arrived, self.again.tasks, task.workload.known.asked):
             count.add(self.host.now)
@@ -563,7 +570,7 @@
             self.host.alarm(now + PERIOD, SOLVE)
             if self.subscribe:
                 self.host.follow_list(True)
-                self.subscribe = False
+            self.subscribe = False
             self.split.solve()
             self.entry.rank()
         elif now >= self.next_wake:
@@ -575,9 +582,3 @@
             self.wake(self.again.due[0][0])
         if self.entry.waiting():
             self.wake(now + SECOND // 100)
-
-    def probed(self, upstream: Upstream, outcome: str, took: int, load: dict[str, float] | None) -> None:
-        """Nothing is probed: a probe may be answered beside the queue and then proves little."""
-
-    def heard(self, balancer: int, contents: bytes) -> None:
-        """Nothing is told among balancers."""
--- a/whinpier/model.py
+++ b/whinpier/model.py
@@ -105,7 +105,7 @@
         """Call `Choice.bell(token)` at or soon after `at`."""
 
     def probe(self, upstream: Upstream) -> None:
-        """Check an upstream; `Choice.probed` gets the finding."""
+        """Check an upstream; what decides on findings comes with the first use."""
 
     def close_idle(self, upstream: Upstream) -> None:
         """Close idle connections to an upstream."""
--- a/whinpier/simhost/__main__.py
+++ b/whinpier/simhost/__main__.py
@@ -49,7 +49,7 @@
         return wire.REPLY.pack(number, actions, len(reply)) + reply
 
     def event(self, instance: Instance, code: int, fields: tuple, rest: bytes) -> None:
-        """One event of one instance, straight into a call."""
+        """One event of one instance, straight into a call. Nothing is probed or told, so no finding comes."""
         if code == wire.RESOLVED:
             _, number, trial, _, reason, took, over, n = fields
             instance.resolved(number, trial, reason, took, over, wire.report(rest, n, instance.columns))
@@ -65,11 +65,6 @@
             instance.client_left(fields[1])
         elif code == wire.OPENED:
             instance.opened(fields[1], fields[3])
-        elif code == wire.SAMPLED:
-            _, reason, took, upstream, n = fields
-            instance.sampled(upstream, reason, took, wire.report(rest, n, instance.columns))
-        elif code == wire.DATAGRAM:
-            instance.choice.heard(fields[1], wire.counted(rest, fields[2]))
         elif code == wire.DESTROY:
             del self.instances[instance.who]
 
--- a/whinpier/simhost/instance.py
+++ b/whinpier/simhost/instance.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from whinpier.choice import Choice
-from whinpier.model import (DRAINING, GONE, MOOT, READY, HandOff, Task, Upstream)
+from whinpier.model import (DRAINING, GONE, READY, HandOff, Task, Upstream)
 from whinpier.simhost import wire
 from whinpier.simhost.wire import US
 
@@ -83,7 +83,7 @@
 
     def targets(self, scope: int, entries: list[tuple]) -> None:
         if scope == wire.SCOPE_FAILED:
-            self.choice.list_failed()
+            self.choice.subscribe = True
             return
         held = {} if scope in (wire.SCOPE_FULL, wire.SCOPE_CACHED) else dict(self.listed)
         for state, number, zone, started, size, cell, shape in entries:
@@ -142,11 +142,6 @@
             self._end(task)
             self.choice.left(task)
 
-    def sampled(self, number: int, reason: int, took: int, load: dict | None) -> None:
-        upstream = self.known.get(number)
-        if upstream is not None:
-            self.choice.probed(upstream, wire.OUTCOMES.get(reason, MOOT), took * US, load)
-
 
 def text_record(code: int, who: int, text: str) -> bytes:
     """A record that carries a line of text."""
