--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -327,7 +327,7 @@
             return count  # a key should meet the same upstreams at every balancer
         # Guards against full connection tables and against knowing little of many: one for each task a second
         # (ten answers of each in the longest smoothing time), or what a small bank can have without harm.
-        return min(count, max(self.LEAST, int(self.arrived.rate(self.host.now)),
+        return min(count, max(self.LEAST, int(self.arrived.rate(self.host.now) / 2),
                               self.TABLE * count // self.balancers))
 
     def choose(self) -> None:
