The latency at ease is learnt from few answers too; an upstream for each three tasks a second

A balancer with under fifty answers in ten seconds never learnt the latency at ease and bounded what is out by its first guess.

--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -325,9 +325,9 @@
         """How many upstreams of a list to keep to."""
         if self.warm_keys:
             return count  # a key should meet the same upstreams at every balancer
-        # Guards against full connection tables and against knowing little of many: one for each task a second
-        # (ten answers of each in the longest smoothing time), or what a small bank can have without harm.
-        return min(count, max(self.LEAST, int(self.arrived.rate(self.host.now) / 2),
+        # Guards against full connection tables and against knowing little of many: one for each three tasks a
+        # second (thirty answers in the longest smoothing time), or what a small bank can have without harm.
+        return min(count, max(self.LEAST, int(self.arrived.rate(self.host.now) / 3),
                               self.TABLE * count // self.balancers))
 
     def choose(self) -> None:
@@ -392,9 +392,9 @@
             answers += answered
             took += known.took.value
         mean = took / answers / SECOND if answers > 0.5 else 0.0
-        if answers > 50.0:  # fewer come from the quickest tasks only
-            # Forgotten by a hundredth a second: slower than any trouble, quick enough for a new mix.
-            self.ease = min(self.ease * 1.01, mean)
+        # Against fifty answers, as fewer come from the quickest tasks only, and whoever has few a second is to
+        # learn it too. Forgotten by a hundredth a second: slower than any trouble, quick enough for a new mix.
+        self.ease = min(self.ease * 1.01, (took / SECOND + 50.0 * self.ease) / (answers + 50.0))
         return mean
 
     def costs(self, sure: list[Seen], mean: float) -> list[float]:
