Three upstreams at least; what is stuck no longer counts against the bound on all

One heavy task at a balancer that may have one out blocked everything else there; now it counts until one answer is overdue.

--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -282,7 +282,7 @@
     """Last stage: draws an upstream by the shares of the min-max solve and hands the task over."""
 
     TRIALS = 0.01  # of sends, to idle upstreams; the design page's
-    LEAST = 4  # upstreams to choose from: with one bad and one full there are still two
+    LEAST = 3  # upstreams to choose from: with one bad and one full there is still one
     TABLE = 20  # balancers at an upstream that can't hurt: tables hold tens
 
     def __init__(self, choice: Choice, settings: dict[str, Any], seed: int) -> None:
@@ -341,7 +341,7 @@
             step, start, held = count // want, self.number * count // self.balancers, set(pool)
             walk = (self.ready[(start + at) % count] for at in sorted(range(count), key=lambda at: at % step))
             pool += islice((seen for seen in walk if seen not in held), max(1, want - sound))
-        while len(pool) > 1.5 * want + 1:
+        while len(pool) > 1.5 * want:
             self.host.close_idle(pool.pop(int(self.random() * len(pool))).upstream)
         self.pool, self.sharing = pool, max(1.0, self.balancers * len(pool) / max(1, count))
 
@@ -446,7 +446,7 @@
         """The upstream for a task; None where nothing may be sent to."""
         now, most = self.host.now, 2.0 * self.total / max(1, len(self.pool))
         # Guards against many balancers that each round up to one: all its parts together bound what is out.
-        sound = [seen for seen in self.pool if seen.silence <= Seen.DOUBT]
+        sound = [seen for seen in self.pool if seen.silence <= 1.0]
         if sum(seen.out for seen in sound) >= max(1.0, sum(seen.part for seen in sound)):
             return None
         # Trials rather go with tasks that may be repeated: they may meet what answers nothing.
