--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -282,7 +282,7 @@
     """Last stage: draws an upstream by the shares of the min-max solve and hands the task over."""
 
     TRIALS = 0.01  # of sends, to idle upstreams; the design page's
-    LEAST = 3  # upstreams to choose from: with one bad and one full there is still one
+    LEAST = 2  # upstreams to choose from: with one bad there is still one
     TABLE = 20  # balancers at an upstream that can't hurt: tables hold tens
 
     def __init__(self, choice: Choice, settings: dict[str, Any], seed: int) -> None:
