Where one of two upstreams is silent only the other is used

Cause: where most seem silent at once all are used again, and one of two was most: the hung one got half.

--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -353,7 +353,7 @@
     def sure(self) -> list[Seen]:
         """Those that answer. Where most seem silent at once it is no fault of theirs: then all of them."""
         sure = [seen for seen in self.pool if not seen.doubted(self.host.now)]
-        return sure if 2 * len(sure) > len(self.pool) else self.pool
+        return sure if 2 * len(sure) >= len(self.pool) else self.pool
 
     def solve(self) -> None:
         """Find the shares for the next period."""
