--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -307,7 +307,7 @@
         self.ease = min(workload.agreed_time for workload in choice.workloads) / SECOND / 5
         # Where crossing zones has its price, it is added to the curve of a distant upstream as time.
         self.crossing = float(settings.get("prices.cross_zone", 0.0)) * agreed
-        self.total, self.owed, self.usual_sends = 0, 0.0, 0.0
+        self.total, self.owed, self.usual_sends, self.crowded = 0, 0.0, 0.0, False
 
     def listed(self, upstreams: list[Upstream]) -> None:
         """Follow the list: what drains or is missing gets nothing new from this moment on."""
@@ -395,6 +395,7 @@
         # Against fifty answers, as fewer come from the quickest tasks only, and whoever has few a second is to
         # learn it too. Forgotten by a hundredth a second: slower than any trouble, quick enough for a new mix.
         self.ease = min(self.ease * 1.01, (took / SECOND + 50.0 * self.ease) / (answers + 50.0))
+        self.crowded = mean > 2.0 * self.ease
         return mean
 
     def costs(self, sure: list[Seen], mean: float) -> list[float]:
@@ -446,8 +447,9 @@
         """The upstream for a task; None where nothing may be sent to."""
         now, most = self.host.now, 2.0 * self.total / max(1, len(self.pool))
         # Guards against many balancers that each round up to one: all its parts together bound what is out.
-        sound = [seen for seen in self.pool if seen.silence <= 1.0]
-        if sum(seen.out for seen in sound) >= max(1.0, sum(seen.part for seen in sound)):
+        # At ease it does so until an answer is overdue, so that one heavy task does not block all others.
+        sound = [seen for seen in self.pool if seen.silence <= (Seen.DOUBT if self.crowded else 1.0)]
+        if sum(seen.out for seen in sound) >= max(1.0, sum(seen.part for seen in sound)) - 0.5 * self.crowded:
             return None
         # Trials rather go with tasks that may be repeated: they may meet what answers nothing.
         if self.owed >= (1.0 if task.workload.kind != EXCLUSIVE else 4.0) and not task.hand_offs:
