--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -418,7 +418,7 @@
         # Guards against crowding, where upstreams lose speed, some for long, or turn tasks away: by Little's
         # law no more is out than is answered in half as much again as the latency of a fleet at ease. Six,
         # over all balancers, can always be out: an idle upstream has no rate to go by.
-        seen.part = max(6.0 / self.sharing, seen.answers.rate(self.host.now) * 1.5 * self.ease)
+        seen.part = max(6.0 / self.sharing, seen.answers.rate(self.host.now) * 1.2 * self.ease)
         seen.room = max(1.0, seen.part) - 0.5  # rounded to whole tasks
 
     def open_to(self, seen: Seen, task: Task) -> bool:
