A popular key spreads over its part of the upstreams; decaying sums in a file of their own

Sum moves to whinpier/decay.py: arithmetic, no decision. The price of crossing counts against the longest agreed time.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -215,3 +215,16 @@
     assert before & {up.seen for up in host.upstreams[40:]} <= set(host.choice.split.pool)
     host.choice.listed(host.upstreams[40:] + [Upstream(n, READY, 0, 0, 0) for n in range(200, 300)])
     assert any(seen.upstream.id >= 200 for seen in host.choice.split.pool)
+
+
+def test_a_popular_key_spreads_over_its_part_of_the_upstreams_and_a_rare_one_does_not():
+    host = FakeHost(RERUNNABLE, 30, balancers=200, **{"family_info.warm_keys": True})
+    met = {1: set(), 2: set()}
+    for turn in range(600):
+        key = 1 if turn % 5 == 0 else 2 if turn % 50 == 1 else 100 + turn
+        task = host.task(key=key)
+        met.get(key, set()).update(sent.upstream.id for sent in task.hand_offs[:1])
+        host.wait(20 * MS)
+        for hand_off in host.out():
+            host.came_back(hand_off)
+    assert len(met[1]) >= 4 and len(met[2]) <= 3
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -18,38 +18,15 @@
 from random import Random
 from typing import Any
 
+from whinpier.decay import SECOND, Sum
 from whinpier.model import (ERROR, EXCLUSIVE, FULFILLED, FULL, MOOT, NEVER_RAN, NO_CONNECTION, READY,
                             RERUNNABLE, RESET, TIMED_OUT, WITHDRAWN, HandOff, Host, Task, Upstream, Workload)
 
 PASS, KEEP, END = "pass on", "keep", "end"
-SECOND = 1_000_000_000
 PERIOD = SECOND  # between solves; the design page's
 SOLVE, TICK = 1, 2  # alarm tokens
 
 
-class Sum:
-    """A sum whose parts fade with age; brought up to date when read."""
-
-    __slots__ = ("span", "value", "at", "begun")
-
-    def __init__(self, span: int, now: int) -> None:
-        self.span, self.value, self.at, self.begun = span, 0.0, now, now
-
-    def read(self, now: int) -> float:
-        if now > self.at:
-            self.value *= exp((self.at - now) / self.span)
-            self.at = now
-        return self.value
-
-    def add(self, now: int, amount: float = 1.0) -> None:
-        self.value = self.read(now) + amount
-
-    def rate(self, now: int) -> float:
-        """Parts a second, made up for the time before the first one could come."""
-        seen = max(now - self.begun, SECOND // 10)
-        return self.read(now) * SECOND / (self.span * (1.0 - exp(-seen / self.span)))
-
-
 class Known:
     """What this balancer has observed of one workload."""
 
@@ -299,14 +276,13 @@
         self.pool: list[Seen] = []  # the part of it that this balancer keeps to
         self.drawn: list[Seen] = []  # those with a share
         self.bounds: list[float] = []  # running sums of their shares
+        self.keys: dict[int, Sum] = {}  # how often each was asked for
         self.span = 3 * SECOND
         self.arrived = Sum(self.span, self.host.now)
-        payoff = sum(workload.payoff for workload in choice.workloads)  # what is worth most sets the time
-        agreed = sum(work.payoff * work.agreed_time for work in choice.workloads) / payoff / SECOND
-        # The least mean latency of late, in seconds; a start until it is known.
-        self.ease = min(workload.agreed_time for workload in choice.workloads) / SECOND / 5
+        agreed = [workload.agreed_time / SECOND for workload in choice.workloads]
+        self.ease = min(agreed) / 5  # the least mean latency of late, in seconds; a start until it is known
         # Where crossing zones has its price, it is added to the curve of a distant upstream as time.
-        self.crossing = float(settings.get("prices.cross_zone", 0.0)) * agreed
+        self.crossing = float(settings.get("prices.cross_zone", 0.0)) * max(agreed)
         self.total, self.owed, self.usual_sends, self.crowded = 0, 0.0, 0.0, False
 
     def listed(self, upstreams: list[Upstream]) -> None:
@@ -358,6 +334,8 @@
     def solve(self) -> None:
         """Find the shares for the next period."""
         self.choose()
+        if len(self.keys) > 5000:  # some 1 MB: what has not come for long is let go
+            self.keys = {key: count for key, count in self.keys.items() if count.read(self.host.now) > 0.1}
         now, pool, sure = self.host.now, self.pool, self.sure()
         own, mean = self.arrived.rate(now), self.measure(now)
         rate = own * self.sharing  # of all balancers, at these upstreams
@@ -434,10 +412,15 @@
 
     def draws(self, task: Task) -> Iterator[Seen]:
         """A few random draws by share; a key steers them, where upstreams know keys, by rendezvous."""
-        if task.key and self.warm_keys:
-            # Over keys the shares hold, while a key meets the same upstreams at every balancer. Three: one
-            # alone is overfilled by popular keys (tried), and the rest would have to do the whole work anew.
-            yield from sorted(self.drawn, key=lambda seen: -log(mixed(task.key, seen.salt)) / seen.share)[:3]
+        if task.key and self.warm_keys and self.drawn:
+            # Over keys the shares hold, while a key meets the same upstreams at every balancer. Three: the rest
+            # would have to do the whole work anew. Guards against a popular key that overfills its first one,
+            # which no balancer sees: it goes to as many as make its part of all tasks, by even chance.
+            ranked = sorted(self.drawn, key=lambda seen: -log(mixed(task.key, seen.salt)) / seen.share)
+            asked = sum(workload.known.asked.read(self.host.now) for workload in self.choice.workloads)
+            part = (self.keys[task.key].read(self.host.now) - 1.0) / (asked + 10.0)
+            yield ranked.pop(int(self.random() * min(len(ranked), 1.0 + part * len(ranked))))
+            yield from ranked[:2]
         elif self.drawn:
             for _ in range(4):  # enough to pass by the few that are in doubt, full or not allowed
                 point = self.random() * self.bounds[-1]
@@ -526,6 +509,8 @@
     def arrive(self, task: Task) -> None:
         for count in (self.split.arrived, self.again.tasks, task.workload.known.asked):
             count.add(self.host.now)
+        if task.key and self.split.warm_keys:
+            self.split.keys.setdefault(task.key, Sum(10 * SECOND, self.host.now)).add(self.host.now)
         if self.run(task, 0) == PASS:
             self.entry.hold(task)
 
