A cold upstream is bounded over five seconds from a spread start; the best workload is not kept out by the rest

Now sends over five seconds, against what a warm one is sent, not what is asked for; a fresh one starts at its bound and a part of a task by chance. And with one place at a balancer a lookup kept calib-set out: the best workload now counts only its own.

--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -24,7 +24,7 @@
         self.tasks = 0
         group = settings.pop("group", "all")
         self.workload = Workload("any", kind, 800 * MS, 3000 * MS, 5.0, group=group, window=2 * SECOND)
-        self.choice = Choice(self, SETTINGS | settings, [self.workload], 7)
+        self.choice = Choice(self, SETTINGS | settings, [self.workload], settings.pop("seed", 7))
         self.upstreams = [Upstream(n, READY, n % 2, 0, 0) for n in range(count)]
         if count:
             self.choice.listed(self.upstreams)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -228,3 +228,15 @@
         for hand_off in host.out():
             host.came_back(hand_off)
     assert len(met[1]) >= 4 and len(met[2]) <= 3
+
+
+def test_hundreds_of_balancers_together_send_a_cold_upstream_less_than_its_part():
+    first = 0
+    for number in range(100):
+        host = FakeHost(EXCLUSIVE, 10, balancers=100, seed=number, **{"family_info.warm_keys": True})
+        host.traffic(3 * SECOND, every=100 * MS)
+        cold = Upstream(99, READY, 0, 0, host.now)
+        host.choice.listed(host.upstreams + [cold])
+        host.traffic(1500 * MS, every=100 * MS)
+        first += sum(sent.upstream is cold for sent in host.sent)
+    assert 0 < first < 0.2 * 2.5 * 1.5 * 100  # 100 a second is what a warm one gets; cold from a fifth of it
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -2,9 +2,8 @@
 
 A host makes one `Choice` per balancer and calls it as things happen: `listed` with the upstreams it holds,
 `arrive` for a task, `came_back` for a hand-off, `left` when a client goes, `bell` when an alarm falls due.
-`Choice` answers by calling its `Host`; both sides are defined in whinpier/model.py, why it decides as it
-does in docs/design.md. A task passes Entry, Again and Split, where each stage may pass it on, keep it or
-end it; what comes back runs through them the other way. Times are nanoseconds.
+`Choice` calls its `Host`, defined in whinpier/model.py; why it decides as it does stands in docs/design.md.
+A task passes Entry, Again and Split: each passes it on, keeps or ends it; what comes back runs the other way.
 """
 
 from __future__ import annotations
@@ -25,6 +24,7 @@
 PASS, KEEP, END = "pass on", "keep", "end"
 PERIOD = SECOND  # between solves; the design page's
 SOLVE, TICK = 1, 2  # alarm tokens
+WINDOW = 5 * SECOND  # over which sends to a cold upstream are bounded: one a second is a fine grain in it
 
 
 class Known:
@@ -33,7 +33,7 @@
     def __init__(self, workload: Workload, now: int) -> None:
         # 10 s: tells the work of one from the other's, whatever single upstreams do.
         self.took, self.answers, self.asked, self.kept = (Sum(10 * SECOND, now) for _ in range(4))
-        self.usual = workload.agreed_time / 4  # mean latency over the whole fleet; a start until it is known
+        self.out, self.usual = 0, workload.agreed_time / 4  # mean latency over the fleet; a start until known
 
 
 class Seen:
@@ -43,7 +43,7 @@
 
     def __init__(self, upstream: Upstream, now: int, span: int) -> None:
         self.upstream, self.salt = upstream, upstream.id * 0x9E3779B97F4A7C15
-        self.due, self.answers, self.sends = Sum(span, now), Sum(span, now), Sum(SECOND, now)
+        self.due, self.answers, self.sends = Sum(span, now), Sum(span, now), Sum(WINDOW, now)
         self.out, self.pull, self.silence, self.missing, self.at, self.heard = 0, 0.0, 0.0, 0.0, now, now
         self.share, self.part, self.room, self.shut_until = 0.0, 1.0, 1.0, 0
         self.given: float | None = None  # its rate, smoothed as its latency is
@@ -66,8 +66,7 @@
         return (self.due.value + 1.0) / (self.answers.read(now) + 1.0)
 
     def doubted(self, now: int, but: HandOff | None = None) -> bool:
-        # Guards against an upstream that takes tasks and answers none: the age of what is out bounds its
-        # latency from below.
+        # Guards against one that takes tasks and answers none: what is out bounds its latency by its age.
         self.watch(now)
         # For `but`, a heavy task must not pass for a silent upstream: without it, one more must be overdue.
         alone = (now - max(but.sent, self.heard)) * but.pull if but else 0.0
@@ -267,8 +266,7 @@
         chance = Random(seed)
         self.random, self.pick = chance.random, chance.choice
         self.balancers = self.sharing = max(1, int(settings.get("balancers", 1)))
-        self.number = int(settings.get("slot_no", 0))
-        self.zone = settings.get("zone", 0)
+        self.number, self.zone = int(settings.get("slot_no", 0)), settings.get("zone", 0)
         self.warm_keys = bool(settings.get("family_info.warm_keys", False))
         self.cold_from = float(settings.get("rules.cold_from", 1.0))
         self.cold = int(settings.get("rules.cold", 0))  # the time it takes to warm up
@@ -278,7 +276,7 @@
         self.bounds: list[float] = []  # running sums of their shares
         self.keys: dict[int, Sum] = {}  # how often each was asked for
         self.span = 3 * SECOND
-        self.arrived = Sum(self.span, self.host.now)
+        self.arrived, self.went = Sum(self.span, self.host.now), Sum(WINDOW, self.host.now)
         agreed = [workload.agreed_time / SECOND for workload in choice.workloads]
         self.ease = min(agreed) / 5  # the least mean latency of late, in seconds; a start until it is known
         # Where crossing zones has its price, it is added to the curve of a distant upstream as time.
@@ -289,12 +287,14 @@
         """Follow the list: what drains or is missing gets nothing new from this moment on."""
         for upstream in upstreams:
             if upstream.seen is None:
-                upstream.seen = Seen(upstream, self.host.now, self.span)
+                seen = upstream.seen = Seen(upstream, self.host.now, self.span)
+                # Guards against hundreds of balancers that each send a fresh upstream its first task at once.
+                seen.sends.value = self.cold_bound(seen) + self.random() if self.ready else 0.0
         ready = sorted((up.seen for up in upstreams if up.state == READY), key=lambda seen: seen.upstream.id)
         # Who joins a list is taken up by chance, so that it meets as many balancers as the others.
         part = self.want(len(ready)) / max(1, len(ready)) if self.ready else 0.0
-        kept, self.ready = (self.pool, self.ready), ready
-        self.pool = [seen for seen in ready if seen in kept[0] or seen not in kept[1] and self.random() < part]
+        pool, known, self.ready = self.pool, self.ready, ready
+        self.pool = [seen for seen in ready if seen in pool or seen not in known and self.random() < part]
         self.solve()
 
     def want(self, count: int) -> int:
@@ -346,8 +346,9 @@
             seen.due.span = seen.answers.span = self.span
             seen.share = 0.0
             self.make_room(seen)
-        # What a warm upstream usually gets from here: the measure for a cold one.
-        self.usual_sends = own / max(1, sum(self.age(seen.upstream) >= 1.0 for seen in pool) or len(pool))
+        # What a warm upstream usually gets from here in the window: the measure for a cold one.
+        warm = sum(self.age(seen.upstream) >= 1.0 for seen in pool)
+        self.usual_sends = self.went.read(now) / warm if warm else own * WINDOW / SECOND / max(1, len(pool))
         # Until latencies and a rate exist the draw is even.
         shares = level(self.costs(sure, mean), rate) if mean and rate >= 1.0 else [1.0] * len(sure)
         for seen, share in zip(sure, shares):
@@ -370,8 +371,8 @@
             answers += answered
             took += known.took.value
         mean = took / answers / SECOND if answers > 0.5 else 0.0
-        # Against fifty answers, as fewer come from the quickest tasks only, and whoever has few a second is to
-        # learn it too. Forgotten by a hundredth a second: slower than any trouble, quick enough for a new mix.
+        # Against fifty answers: fewer come from the quickest tasks only, whoever has few a second learns it
+        # too. Forgotten by a hundredth a second: slower than any trouble, quick enough for a new mix.
         self.ease = min(self.ease * 1.01, (took / SECOND + 50.0 * self.ease) / (answers + 50.0))
         self.crowded = mean > 2.0 * self.ease
         return mean
@@ -406,16 +407,17 @@
                 or any(sent.upstream is upstream for sent in task.hand_offs)
                 or task.hand_offs and not self.choice.again.fits(task, upstream)):
             return False
-        # Guards against pushing over a cold upstream: its part by age of what others get, half more at most.
-        part = self.age(upstream)
-        return part >= 1.0 or seen.sends.read(now) < 1.5 * part * max(self.usual_sends, 0.5)
+        # Guards against pushing over a cold upstream.
+        return self.age(upstream) >= 1.0 or seen.sends.read(now) <= self.cold_bound(seen)
+
+    def cold_bound(self, seen: Seen) -> float:
+        return 1.5 * self.age(seen.upstream) * self.usual_sends  # its part by age, and half as much again
 
     def draws(self, task: Task) -> Iterator[Seen]:
         """A few random draws by share; a key steers them, where upstreams know keys, by rendezvous."""
         if task.key and self.warm_keys and self.drawn:
-            # Over keys the shares hold, while a key meets the same upstreams at every balancer. Three: the rest
-            # would have to do the whole work anew. Guards against a popular key that overfills its first one,
-            # which no balancer sees: it goes to as many as make its part of all tasks, by even chance.
+            # Over keys the shares hold, while a key meets the same three upstreams at every balancer. Guards
+            # against a popular one overfilling its first: even chance among its part of the upstreams.
             ranked = sorted(self.drawn, key=lambda seen: -log(mixed(task.key, seen.salt)) / seen.share)
             asked = sum(workload.known.asked.read(self.host.now) for workload in self.choice.workloads)
             part = (self.keys[task.key].read(self.host.now) - 1.0) / (asked + 10.0)
@@ -432,7 +434,10 @@
         # Guards against many balancers that each round up to one: all its parts together bound what is out.
         # At ease it does so until an answer is overdue, so that one heavy task does not block all others.
         sound = [seen for seen in self.pool if seen.silence <= (Seen.DOUBT if self.crowded else 1.0)]
-        if sum(seen.out for seen in sound) >= max(1.0, sum(seen.part for seen in sound)) - 0.5 * self.crowded:
+        # What adds most for its work is not kept out by the rest.
+        best = next(iter(self.choice.entry.held))
+        out = min(sum(seen.out for seen in sound), best.known.out if task.workload is best else self.total)
+        if out >= max(1.0, sum(seen.part for seen in sound)) - 0.5 * self.crowded:
             return None
         # Trials rather go with tasks that may be repeated: they may meet what answers nothing.
         if self.owed >= (1.0 if task.workload.kind != EXCLUSIVE else 4.0) and not task.hand_offs:
@@ -460,6 +465,8 @@
         seen.pull += hand_off.pull
         seen.out, self.total, self.owed = seen.out + 1, self.total + 1, self.owed + self.TRIALS
         seen.sends.add(now)
+        self.went.add(now)
+        task.workload.known.out += 1
         self.choice.again.sent(hand_off)
         return KEEP
 
@@ -467,7 +474,7 @@
         seen, now, outcome = hand_off.upstream.seen, self.host.now, hand_off.outcome
         workload = hand_off.task.workload
         seen.watch(now)
-        seen.out, self.total = seen.out - 1, self.total - 1
+        seen.out, self.total, workload.known.out = seen.out - 1, self.total - 1, workload.known.out - 1
         seen.pull = seen.pull - hand_off.pull if seen.out else 0.0
         if outcome in (FULFILLED, ERROR, FULL):
             seen.answered(now)
