--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -204,7 +204,7 @@
 def test_a_balancer_whose_upstreams_all_fall_silent_takes_others_besides():
     host = FakeHost(EXCLUSIVE, 80, balancers=400, slot_no=399)
     first = list(host.choice.split.pool)
-    host.traffic(6 * SECOND, every=200 * MS, takes=lambda upstream: None if upstream.seen in first else 50 * MS)
+    host.traffic(6 * SECOND, 200 * MS, lambda upstream: None if upstream.seen in first else 50 * MS)
     assert {sent.upstream.seen for sent in host.sent[-4:]}.isdisjoint(first)
 
 
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -113,7 +113,7 @@
 
         def worth(workload: Workload) -> float:
             lift = self.worst / asked[workload] if workload is least else 0.0
-            return (self.whole * workload.payoff / payoff + lift) / workload.known.usual
+            return float((self.whole * workload.payoff / payoff + lift) / workload.known.usual)
 
         self.held = {workload: self.held[workload] for workload in sorted(self.held, key=worth, reverse=True)}
 
@@ -265,7 +265,7 @@
         self.choice, self.host = choice, choice.host
         chance = Random(seed)
         self.random, self.pick = chance.random, chance.choice
-        self.balancers = self.sharing = max(1, int(settings.get("balancers", 1)))
+        self.balancers = max(1, int(settings.get("balancers", 1)))
         self.number, self.zone = int(settings.get("slot_no", 0)), settings.get("zone", 0)
         self.warm_keys = bool(settings.get("family_info.warm_keys", False))
         self.cold_from = float(settings.get("rules.cold_from", 1.0))
@@ -281,7 +281,7 @@
         self.ease = min(agreed) / 5  # the least mean latency of late, in seconds; a start until it is known
         # Where crossing zones has its price, it is added to the curve of a distant upstream as time.
         self.crossing = float(settings.get("prices.cross_zone", 0.0)) * max(agreed)
-        self.total, self.owed, self.usual_sends, self.crowded = 0, 0.0, 0.0, False
+        self.total, self.owed, self.usual_sends, self.sharing, self.crowded = 0, 0.0, 0.0, 1.0, False
 
     def listed(self, upstreams: list[Upstream]) -> None:
         """Follow the list: what drains or is missing gets nothing new from this moment on."""
--- a/whinpier/simhost/__main__.py
+++ b/whinpier/simhost/__main__.py
@@ -4,6 +4,7 @@
 
 import sys
 import traceback
+from typing import Any
 
 from whinpier.model import WireError
 from whinpier.simhost import wire
@@ -15,7 +16,7 @@
 
     def __init__(self) -> None:
         self.instances: dict[int, Instance] = {}
-        self.rosters: dict[int, list[tuple]] = {}
+        self.rosters: dict[int, list[tuple[Any, ...]]] = {}
 
     def batch(self, number: int, count: int, now: int, body: bytes) -> bytes:
         """The whole reply to one batch."""
@@ -48,7 +49,7 @@
                 instance.actions = 0
         return wire.REPLY.pack(number, actions, len(reply)) + reply
 
-    def event(self, instance: Instance, code: int, fields: tuple, rest: bytes) -> None:
+    def event(self, instance: Instance, code: int, fields: tuple[Any, ...], rest: bytes) -> None:
         """One event of one instance, straight into a call. Nothing is probed or told, so no finding comes."""
         if code == wire.RESOLVED:
             _, number, trial, _, reason, took, over, n = fields
--- a/whinpier/simhost/instance.py
+++ b/whinpier/simhost/instance.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from whinpier.choice import Choice
-from whinpier.model import (DRAINING, GONE, READY, HandOff, Task, Upstream)
+from whinpier.model import (DRAINING, ERROR, GONE, READY, HandOff, Task, Upstream)
 from whinpier.simhost import wire
 from whinpier.simhost.wire import US
 
@@ -81,7 +83,7 @@
         if task.ended and all(hand_off.outcome for hand_off in task.hand_offs):
             self.tasks.pop(task.id, None)
 
-    def targets(self, scope: int, entries: list[tuple]) -> None:
+    def targets(self, scope: int, entries: list[tuple[Any, ...]]) -> None:
         if scope == wire.SCOPE_FAILED:
             self.choice.subscribe = True
             return
@@ -119,11 +121,12 @@
             return None
         return task.hand_offs[trial]
 
-    def resolved(self, number: int, trial: int, reason: int, took: int, over: int, load: dict | None) -> None:
+    def resolved(self, number: int, trial: int, reason: int, took: int, over: int,
+                 load: dict[str, float] | None) -> None:
         hand_off = self._hand_off(number, trial)
         if hand_off is None or hand_off.outcome:
             return
-        hand_off.outcome, hand_off.took = wire.OUTCOMES.get(reason, wire.model.ERROR), took * US
+        hand_off.outcome, hand_off.took = wire.OUTCOMES.get(reason, ERROR), took * US
         task = hand_off.task
         first = bool(over) and not task.ended
         task.ended = task.ended or bool(over)
--- a/whinpier/simhost/wire.py
+++ b/whinpier/simhost/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterator
 from struct import Struct
 from typing import Any, BinaryIO
 
@@ -64,7 +65,7 @@
     return number, count, clock * US, body
 
 
-def records(number: int, count: int, body: bytes):
+def records(number: int, count: int, body: bytes) -> Iterator[tuple[int, tuple[Any, ...], bytes]]:
     """Each known record of a batch as (code, fields, rest of its bytes)."""
     at, size = 0, len(body)
     for index in range(count):
@@ -92,7 +93,7 @@
     return rest[:count]
 
 
-def entries(rest: bytes, count: int) -> list[tuple]:
+def entries(rest: bytes, count: int) -> list[tuple[Any, ...]]:
     """The entries of a roster."""
     return list(ENTRY.iter_unpack(counted(rest, count * ENTRY.size)))
 
