--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -12,7 +12,7 @@
 from bisect import bisect_right
 from collections import deque
 from collections.abc import Iterator
-from itertools import accumulate, islice
+from itertools import accumulate, count as numbers, islice
 from math import exp, log
 from random import Random
 from typing import Any
@@ -106,9 +106,8 @@
 
     def rank(self) -> None:
         """Order the workloads by what their tasks add for the work they cost, the worst served lifted."""
-        now = self.host.now
-        asked = {workload: workload.known.asked.read(now) + 1.0 for workload in self.held}
-        least = min(self.held, key=lambda workload: workload.known.kept.read(now) / asked[workload])
+        asked = {workload: workload.known.asked.read(self.host.now) + 1.0 for workload in self.held}
+        least = min(self.held, key=lambda workload: workload.known.kept.read(self.host.now) / asked[workload])
         payoff = sum(workload.payoff * count for workload, count in asked.items())
 
         def worth(workload: Workload) -> float:
@@ -177,7 +176,7 @@
         self.cancelling = settings.get("limits.cancelling", False)
         self.tasks, self.copies = Sum(5 * SECOND, self.host.now), Sum(5 * SECOND, self.host.now)
         self.due: list[tuple[int, int, HandOff]] = []
-        self.count = 0
+        self.number = numbers()
 
     def take(self, task: Task) -> str:
         return PASS if not task.hand_offs or self.allowed(task) else self.choice.finish(task)
@@ -221,8 +220,7 @@
         workload = hand_off.task.workload
         due = self.host.now + int(self.LATE * workload.known.usual)
         if workload.kind != EXCLUSIVE and self.second_copies and due < hand_off.task.ends:
-            self.count += 1
-            heapq.heappush(self.due, (due, self.count, hand_off))
+            heapq.heappush(self.due, (due, next(self.number), hand_off))
             self.choice.wake(due)
 
     def check(self) -> None:
@@ -275,12 +273,12 @@
         self.drawn: list[Seen] = []  # those with a share
         self.bounds: list[float] = []  # running sums of their shares
         self.keys: dict[int, Sum] = {}  # how often each was asked for
+        self.ranks: dict[int, tuple[list[Seen], int]] = {}  # of a key, until the next solve: its upstreams
         self.span = 3 * SECOND
         self.arrived, self.went = Sum(self.span, self.host.now), Sum(WINDOW, self.host.now)
         agreed = [workload.agreed_time / SECOND for workload in choice.workloads]
         self.ease = min(agreed) / 5  # the least mean latency of late, in seconds; a start until it is known
-        # Where crossing zones has its price, it is added to the curve of a distant upstream as time.
-        self.crossing = float(settings.get("prices.cross_zone", 0.0)) * max(agreed)
+        self.crossing = float(settings.get("prices.cross_zone", 0.0)) * max(agreed)  # its price as time
         self.total, self.owed, self.usual_sends, self.sharing, self.crowded = 0, 0.0, 0.0, 1.0, False
 
     def listed(self, upstreams: list[Upstream]) -> None:
@@ -335,7 +333,7 @@
         """Find the shares for the next period."""
         self.choose()
         if len(self.keys) > 5000:  # some 1 MB: what has not come for long is let go
-            self.keys = {key: count for key, count in self.keys.items() if count.read(self.host.now) > 0.1}
+            self.keys = {key: asked for key, asked in self.keys.items() if asked.read(self.host.now) > 0.1}
         now, pool, sure = self.host.now, self.pool, self.sure()
         own, mean = self.arrived.rate(now), self.measure(now)
         rate = own * self.sharing  # of all balancers, at these upstreams
@@ -359,7 +357,7 @@
             seen.share /= total
             if seen.given is not None:
                 seen.given += (seen.share * rate - seen.given) * step
-        self.drawn = [seen for seen in sure if seen.share > 0.0]
+        self.drawn, self.ranks = [seen for seen in sure if seen.share > 0.0], {}
         self.bounds = list(accumulate(seen.share for seen in self.drawn))
 
     def measure(self, now: int) -> float:
@@ -371,8 +369,7 @@
             answers += answered
             took += known.took.value
         mean = took / answers / SECOND if answers > 0.5 else 0.0
-        # Against fifty answers: fewer come from the quickest tasks only, whoever has few a second learns it
-        # too. Forgotten by a hundredth a second: slower than any trouble, quick enough for a new mix.
+        # Against fifty answers: fewer come from the quickest tasks. Forgotten slower than a trouble lasts.
         self.ease = min(self.ease * 1.01, (took / SECOND + 50.0 * self.ease) / (answers + 50.0))
         self.crowded = mean > 2.0 * self.ease
         return mean
@@ -407,22 +404,26 @@
                 or any(sent.upstream is upstream for sent in task.hand_offs)
                 or task.hand_offs and not self.choice.again.fits(task, upstream)):
             return False
-        # Guards against pushing over a cold upstream.
         return self.age(upstream) >= 1.0 or seen.sends.read(now) <= self.cold_bound(seen)
 
     def cold_bound(self, seen: Seen) -> float:
-        return 1.5 * self.age(seen.upstream) * self.usual_sends  # its part by age, and half as much again
+        # Guards against pushing over a cold upstream: its part by age of a warm one's, and half more.
+        return 1.5 * self.age(seen.upstream) * self.usual_sends
 
     def draws(self, task: Task) -> Iterator[Seen]:
         """A few random draws by share; a key steers them, where upstreams know keys, by rendezvous."""
         if task.key and self.warm_keys and self.drawn:
             # Over keys the shares hold, while a key meets the same three upstreams at every balancer. Guards
             # against a popular one overfilling its first: even chance among its part of the upstreams.
-            ranked = sorted(self.drawn, key=lambda seen: -log(mixed(task.key, seen.salt)) / seen.share)
-            asked = sum(workload.known.asked.read(self.host.now) for workload in self.choice.workloads)
-            part = (self.keys[task.key].read(self.host.now) - 1.0) / (asked + 10.0)
-            yield ranked.pop(int(self.random() * min(len(ranked), 1.0 + part * len(ranked))))
-            yield from ranked[:2]
+            if task.key not in self.ranks:
+                ranked = sorted(self.drawn, key=lambda seen: -log(mixed(task.key, seen.salt)) / seen.share)
+                now, asked = self.host.now, self.choice.again.tasks
+                part = (self.keys[task.key].read(now) - 1.0) / (asked.read(now) + 10.0)
+                among = min(len(ranked), int(1.5 + part * len(ranked)))
+                self.ranks[task.key] = ranked[:among + 2], among
+            ranked, among = self.ranks[task.key]
+            first = int(self.random() * among)
+            yield from [ranked[first], *ranked[:first], *ranked[first + 1:]][:3]
         elif self.drawn:
             for _ in range(4):  # enough to pass by the few that are in doubt, full or not allowed
                 point = self.random() * self.bounds[-1]
@@ -434,8 +435,7 @@
         # Guards against many balancers that each round up to one: all its parts together bound what is out.
         # At ease it does so until an answer is overdue, so that one heavy task does not block all others.
         sound = [seen for seen in self.pool if seen.silence <= (Seen.DOUBT if self.crowded else 1.0)]
-        # What adds most for its work is not kept out by the rest.
-        best = next(iter(self.choice.entry.held))
+        best = next(iter(self.choice.entry.held))  # what adds most for its work is not kept out by the rest
         out = min(sum(seen.out for seen in sound), best.known.out if task.workload is best else self.total)
         if out >= max(1.0, sum(seen.part for seen in sound)) - 0.5 * self.crowded:
             return None
@@ -514,10 +514,10 @@
         self.entry.release()
 
     def arrive(self, task: Task) -> None:
-        for count in (self.split.arrived, self.again.tasks, task.workload.known.asked):
-            count.add(self.host.now)
+        for asked in (self.split.arrived, self.again.tasks, task.workload.known.asked):
+            asked.add(self.host.now)
         if task.key and self.split.warm_keys:
-            self.split.keys.setdefault(task.key, Sum(10 * SECOND, self.host.now)).add(self.host.now)
+            self.split.keys.setdefault(task.key, Sum(5 * SECOND, self.host.now)).add(self.host.now)
         if self.run(task, 0) == PASS:
             self.entry.hold(task)
 
