--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -240,3 +240,12 @@
         host.traffic(1500 * MS, every=100 * MS)
         first += sum(sent.upstream is cold for sent in host.sent)
     assert 0 < first < 0.2 * 2.5 * 1.5 * 100  # 100 a second is what a warm one gets; cold from a fifth of it
+
+
+def test_the_quick_answers_of_a_restarted_balancers_first_seconds_do_not_narrow_its_room():
+    host = FakeHost(RERUNNABLE, 3)
+    before = host.choice.split.ease
+    host.traffic(2 * SECOND, takes=lambda upstream: 5 * MS)
+    assert host.choice.split.ease == before
+    host.traffic(4 * SECOND, takes=lambda upstream: 50 * MS)
+    assert host.choice.split.ease < before
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -369,8 +369,10 @@
             answers += answered
             took += known.took.value
         mean = took / answers / SECOND if answers > 0.5 else 0.0
-        # Against fifty answers: fewer come from the quickest tasks. Forgotten slower than a trouble lasts.
-        self.ease = min(self.ease * 1.01, (took / SECOND + 50.0 * self.ease) / (answers + 50.0))
+        # Against fifty answers, and after three seconds: the quickest come first, and a restarted balancer must
+        # not think them usual. Forgotten slower than a trouble lasts.
+        if now >= self.arrived.begun + 3 * SECOND:
+            self.ease = min(self.ease * 1.01, (took / SECOND + 50.0 * self.ease) / (answers + 50.0))
         self.crowded = mean > 2.0 * self.ease
         return mean
 
@@ -391,9 +393,8 @@
         return costs
 
     def make_room(self, seen: Seen) -> None:
-        # Guards against crowding, where upstreams lose speed, some for long, or turn tasks away: by Little's
-        # law no more is out than is answered in half as much again as the latency of a fleet at ease. Six,
-        # over all balancers, can always be out: an idle upstream has no rate to go by.
+        # Guards against crowding, where upstreams lose speed or turn tasks away: by Little's law no more is out
+        # than is answered in a fifth more than the latency at ease, or six at each over all balancers.
         seen.part = max(6.0 / self.sharing, seen.answers.rate(self.host.now) * 1.2 * self.ease)
         seen.room = max(1.0, seen.part) - 0.5  # rounded to whole tasks
 
@@ -432,8 +433,7 @@
     def find(self, task: Task) -> Seen | None:
         """The upstream for a task; None where nothing may be sent to."""
         now, most = self.host.now, 2.0 * self.total / max(1, len(self.pool))
-        # Guards against many balancers that each round up to one: all its parts together bound what is out.
-        # At ease it does so until an answer is overdue, so that one heavy task does not block all others.
+        # Guards against many that each round up to one: all parts bound what is out, at ease if not overdue.
         sound = [seen for seen in self.pool if seen.silence <= (Seen.DOUBT if self.crowded else 1.0)]
         best = next(iter(self.choice.entry.held))  # what adds most for its work is not kept out by the rest
         out = min(sum(seen.out for seen in sound), best.known.out if task.workload is best else self.total)
