--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -369,8 +369,8 @@
             answers += answered
             took += known.took.value
         mean = took / answers / SECOND if answers > 0.5 else 0.0
-        # Against fifty answers, and after three seconds: the quickest come first, and a restarted balancer must
-        # not think them usual. Forgotten slower than a trouble lasts.
+        # Against fifty answers, and after three seconds: the quickest come first, and a restarted balancer
+        # must not think them usual. Forgotten slower than a trouble lasts.
         if now >= self.arrived.begun + 3 * SECOND:
             self.ease = min(self.ease * 1.01, (took / SECOND + 50.0 * self.ease) / (answers + 50.0))
         self.crowded = mean > 2.0 * self.ease
@@ -393,8 +393,8 @@
         return costs
 
     def make_room(self, seen: Seen) -> None:
-        # Guards against crowding, where upstreams lose speed or turn tasks away: by Little's law no more is out
-        # than is answered in a fifth more than the latency at ease, or six at each over all balancers.
+        # Guards against crowding, where upstreams lose speed or turn tasks away: by Little's law no more is
+        # out than is answered in a fifth more than the latency at ease, or six at each over all balancers.
         seen.part = max(6.0 / self.sharing, seen.answers.rate(self.host.now) * 1.2 * self.ease)
         seen.room = max(1.0, seen.part) - 0.5  # rounded to whole tasks
 
