--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -249,3 +249,12 @@
     assert host.choice.split.ease == before
     host.traffic(4 * SECOND, takes=lambda upstream: 50 * MS)
     assert host.choice.split.ease < before
+
+
+def test_a_task_sent_again_long_after_its_key_was_let_go_still_finds_an_upstream():
+    host = FakeHost(RERUNNABLE, 90, balancers=400, **{"family_info.warm_keys": True})
+    task = host.task(30 * SECOND, key=1)
+    host.wait(12 * SECOND)
+    host.choice.split.keys.clear()  # as when very many others came meanwhile
+    host.came_back(task.hand_offs[0], RESET)
+    assert len(task.hand_offs) == 2
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -418,8 +418,8 @@
             # against a popular one overfilling its first: even chance among its part of the upstreams.
             if task.key not in self.ranks:
                 ranked = sorted(self.drawn, key=lambda seen: -log(mixed(task.key, seen.salt)) / seen.share)
-                now, asked = self.host.now, self.choice.again.tasks
-                part = (self.keys[task.key].read(now) - 1.0) / (asked.read(now) + 10.0)
+                now, asked, key = self.host.now, self.choice.again.tasks, self.keys.get(task.key)
+                part = max(0.0, key.read(now) - 1.0) / (asked.read(now) + 10.0) if key else 0.0
                 among = min(len(ranked), int(1.5 + part * len(ranked)))
                 self.ranks[task.key] = ranked[:among + 2], among
             ranked, among = self.ranks[task.key]
