--- /dev/null
+++ b/whinpier/net/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer on sockets. No decisions here."""
--- /dev/null
+++ b/whinpier/net/balancer.py
@@ -0,0 +1,370 @@
+"""Is the host of the decisions on sockets: one module, one clock, one alarm heap, one way in.
+
+Owns the list of upstreams with their identity, the count of descriptors, and the end of the process. Must
+never call the decisions from inside one of their calls, decide anything, or leave a task without an answer.
+"""
+
+from __future__ import annotations
+
+import gc
+import heapq
+import signal
+import socket
+import time
+from collections import Counter, deque
+from collections.abc import Awaitable, Callable
+from itertools import count as numbers
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from whinpier.choice import Choice
+from whinpier.decay import SECOND
+from whinpier.model import (DRAINING, FULFILLED, GONE, READY, TIMED_OUT, WITHDRAWN, HandOff, Task, Upstream)
+from whinpier.net import log
+from whinpier.net.clients import Asked, Client, hashed
+from whinpier.net.config import Config, Entry
+from whinpier.net.discovery import Discovery
+from whinpier.net.upstreams import HOP, Answer, Link, Sending, Server
+
+STILL_COMING = 6 * SECOND // 10  # after SIGTERM new connections go on coming for up to 0.4 s
+START = SECOND  # to be told the list before the one that was known must do
+SWEEP = SECOND  # between looks at what waits too long: the limits are seconds
+FIGURES = 10 * SECOND  # between lines of figures
+SPARE = 32  # descriptors kept back: the standard ones, listener, discovery, the loop's own
+BACKLOG = 1024
+
+
+class Balancer:
+    """One balancer."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        # One clock on the scale of born_ms: set by the wall clock once, so that no step of that disturbs it.
+        self.offset = time.time_ns() - time.monotonic_ns()
+        self.now = self.clock()
+        self.next_id, self.next_alarm = numbers(1).__next__, numbers().__next__
+        self.alarms: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.sooner, self.ring_at = anyio.Event(), 0
+        self.todo: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
+        self.inside = False
+        self.held: dict[str, Server] = {}  # the list as last told
+        self.clients: set[Client] = set()
+        self.links: set[Link] = set()
+        self.out = 0  # tasks without an answer
+        self.lanes = {workload.name.encode(): workload for workload in config.workloads}
+        self.tenants = {name.encode(): index for index, name in enumerate(config.tenants)}
+        self.stopping, self.told_once, self.began = False, False, self.now
+        self.space = anyio.Event()
+        self.lag = 0
+        self.choice = Choice(self, config.settings, config.workloads, config.seed)
+        self.discovery = Discovery(config, self.told, self.choice.split.random)
+        self.following = config.settings.get("discovery") != "subscribe"
+
+    def clock(self) -> int:
+        return time.monotonic_ns() + self.offset
+
+    # The one way in.
+
+    def enter(self, call: Callable[..., None], *args: Any) -> None:
+        """Call the decisions, or have them called when the call that is on has ended."""
+        self.todo.append((call, args))
+        if self.inside:
+            return
+        self.inside = True
+        try:
+            while self.todo:
+                call, args = self.todo.popleft()
+                self.now = self.clock()
+                try:
+                    call(*args)
+                except Exception:  # one fault must not end the process: the task's end answers it
+                    log.fault("decision_fault", call=getattr(call, "__name__", call))
+        finally:
+            self.inside = False
+
+    def at(self, at: int, call: Callable[..., None], *args: Any) -> None:
+        """Have something called at a time."""
+        heapq.heappush(self.alarms, (at, self.next_alarm(), call, args))
+        if at < self.ring_at:
+            self.ring_at = at
+            self.sooner.set()
+
+    async def ring(self) -> None:
+        """Call what falls due."""
+        while True:
+            now = self.clock()
+            while self.alarms and self.alarms[0][0] <= now:
+                due, _, call, args = heapq.heappop(self.alarms)
+                self.lag = max(self.lag, now - due)
+                self.enter(call, *args)
+            self.sooner = anyio.Event()
+            self.ring_at = self.alarms[0][0] if self.alarms else now + SECOND
+            with anyio.move_on_after((self.ring_at - self.clock()) / SECOND):
+                await self.sooner.wait()
+
+    def spawn(self, run: Callable[[], Awaitable[None]], end: Callable[[], None]) -> None:
+        """Run a network task; its fault ends what it served, never the process."""
+        self.tasks.start_soon(self.guarded, run, end)
+
+    @staticmethod
+    async def guarded(run: Callable[[], Awaitable[None]], end: Callable[[], None]) -> None:
+        try:
+            await run()
+        except Exception:
+            log.fault("network_fault")
+            end()
+
+    # What the decisions ask for.
+
+    def hand_off(self, task: Task, upstream: Upstream, stop_at: int = 0) -> HandOff:
+        assert isinstance(task, Asked) and isinstance(upstream, Server)
+        log.must(not task.ended, "nothing is sent for a task that has its answer")
+        log.must(upstream.state == READY, "nothing new is sent to what drains or is gone")
+        sending = Sending(task, upstream, self.now)
+        task.hand_offs.append(sending)
+        log.counts["handed_off"] += 1
+        upstream.send(sending)
+        if stop_at and stop_at < task.ends:
+            self.at(stop_at, self.stop_waiting, sending, TIMED_OUT)
+        return sending
+
+    def withdraw(self, hand_off: HandOff) -> None:
+        self.stop_waiting(hand_off, WITHDRAWN)
+
+    def turn_back(self, task: Task, wait: int = 0) -> None:
+        headers = [(b"retry-after", b"%.3f" % (wait / SECOND))] if wait else []
+        self.finish(task, "turned_back", 503, b"turned back\n", headers)
+
+    def scrap(self, task: Task) -> None:
+        self.finish(task, "scrapped", 502, b"not fulfilled\n")
+
+    def alarm(self, at: int, token: int = 0) -> None:
+        self.at(max(at, self.now + 1), self.choice_bell, token)
+
+    def choice_bell(self, token: int) -> None:
+        self.choice.bell(token)
+
+    def probe(self, upstream: Upstream) -> None:
+        """Room for it: nothing decides on findings yet."""
+
+    def close_idle(self, upstream: Upstream) -> None:
+        assert isinstance(upstream, Server)
+        upstream.close_idle()
+
+    def tell(self, balancer: int | None, contents: bytes) -> None:
+        """Room for it: balancers share nothing."""
+
+    def follow_list(self, on: bool) -> None:
+        self.following = on
+        self.discovery.follow(on)
+
+    def fetch_list(self) -> None:
+        self.discovery.fetch()
+
+    def log(self, text: str) -> None:
+        log.say("decisions", text=text)
+
+    # What comes in.
+
+    def take(self, task: Asked) -> None:
+        """A client's task."""
+        self.out += 1
+        log.counts["tasks"] += 1
+        self.at(task.ends, self.time_up, task)
+        self.enter(self.choice.arrive, task)
+
+    def finish(self, task: Task, how: str, status: int, body: bytes,
+               headers: list[tuple[bytes, bytes]] | None = None) -> None:
+        """The one final answer of a task."""
+        assert isinstance(task, Asked)
+        log.must(not task.ended and task.client.task is task, "a task has one final answer")
+        if task.ended or task.client.task is not task:
+            return
+        task.ended = True
+        self.out -= 1
+        log.counts[how] += 1
+        task.client.answer(status, body, headers)
+
+    def time_up(self, task: Asked) -> None:
+        """Its client gives up now: what is still out has timed out, and an answer goes in any case."""
+        for hand_off in list(task.hand_offs):
+            self.stop_waiting(hand_off, TIMED_OUT)
+        self.todo.append((self.last_word, (task,)))
+
+    def last_word(self, task: Asked) -> None:
+        # Guards against a fault in a decision: even then a task has its answer in time.
+        if not task.ended:
+            log.must(False, "the decisions end a task by its patience")
+            self.scrap(task)
+
+    def stop_waiting(self, hand_off: HandOff, outcome: str) -> None:
+        assert isinstance(hand_off, Sending)
+        if hand_off.outcome or hand_off.settled:
+            return
+        if hand_off.link:
+            hand_off.link.give_up()
+        elif hand_off in hand_off.server.waiting:
+            hand_off.server.waiting.remove(hand_off)
+        self.settle(hand_off, outcome)
+
+    def settle(self, sending: Sending, outcome: str, answer: Answer | None = None) -> None:
+        """A hand-off has its outcome, once."""
+        log.must(not sending.settled, "a hand-off has one outcome")
+        if not sending.settled:
+            sending.settled = True
+            self.enter(self.came_back, sending, outcome, answer)
+
+    def came_back(self, sending: Sending, outcome: str, answer: Answer | None) -> None:
+        sending.outcome, sending.took = outcome, self.now - sending.sent
+        log.counts["came_back_" + outcome.replace(" ", "_")] += 1
+        first = outcome == FULFILLED and not sending.task.ended
+        if first and answer:
+            headers = [pair for pair in answer.headers if pair[0] not in HOP and pair[0] != b"content-length"]
+            self.finish(sending.task, "fulfilled", 200, b"".join(answer.parts), headers)
+        self.choice.came_back(sending, answer.load() if answer else None, first)
+
+    def client_left(self, task: Asked) -> None:
+        if not task.ended:
+            task.ended = True
+            self.out -= 1
+            log.counts["clients_left"] += 1
+            self.enter(self.choice.left, task)
+
+    # The list.
+
+    def told(self, entries: list[Entry], whole: bool, cached: bool = False) -> None:
+        """Follow what discovery says; a restart of an upstream is a new one in its place."""
+        held = {} if whole else dict(self.held)
+        for entry in entries:
+            server = self.held.get(entry.host)
+            if entry.state == GONE:
+                held.pop(entry.host, None)
+                continue
+            if server is None or (entry.started and entry.started != server.started):
+                server = Server(self, hashed(entry.host.encode()), entry.state, entry.started, entry.dial)
+            server.state, server.cell, server.size = entry.state, entry.cell, entry.size
+            server.zone = self.place(self.config.zones, entry.zone)
+            server.shape = self.place(self.config.kinds, entry.shape)
+            server.moved(entry.dial)
+            held[entry.host] = server
+        before, self.held = self.held, held
+        self.told_once = self.told_once or not cached
+        for host, server in before.items():
+            if held.get(host) is not server:
+                server.state = GONE
+        for server in {*before.values(), *held.values()}:
+            if server.state != READY:
+                server.retire()
+        states = Counter(server.state for server in held.values())
+        log.say("list", whole=whole, cached=cached, **states)
+        usable = [server for server in held.values() if server.state in (READY, DRAINING)]
+        self.enter(self.choice.listed, usable)
+
+    @staticmethod
+    def place(names: list[str], name: str) -> int:
+        return names.index(name) if name in names else len(names)
+
+    def ready(self) -> bool:
+        """Whether the front may send clients."""
+        told = self.told_once or self.clock() > self.began + START
+        return not self.stopping and told and any(server.state == READY for server in self.held.values())
+
+    # Descriptors.
+
+    def room(self) -> int:
+        return self.config.sockets - SPARE - len(self.links) - len(self.clients)
+
+    def make_room(self) -> bool:
+        """Whether one more connection may be opened: the longest idle ones make way, upstreams' first."""
+        if self.room() <= 0:
+            idle = [link for server in self.held.values() for link in server.idle]
+            if idle:
+                min(idle, key=lambda link: link.since).close()
+            elif unused := [client for client in self.clients if client.idle()]:
+                min(unused, key=lambda client: client.since).close()
+        return self.room() > 0
+
+    def roomier(self) -> None:
+        self.space.set()
+
+    # The process.
+
+    async def accept(self, listener: socket.socket) -> None:
+        """Take clients in while there are descriptors; at the limit accepting waits."""
+        while True:
+            await anyio.wait_readable(listener)
+            while self.make_room():
+                try:
+                    sock, _ = listener.accept()
+                except BlockingIOError:
+                    break
+                except OSError as fault:
+                    log.warn("accept_failed", fault=fault)
+                    await anyio.sleep(0.01)
+                    break
+                self.welcome(sock)
+            else:
+                log.warn("descriptors_used_up", clients=len(self.clients), links=len(self.links))
+                self.space = anyio.Event()
+                with anyio.move_on_after(0.1):
+                    await self.space.wait()
+
+    def welcome(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client = Client(self, sock)
+        self.clients.add(client)
+        self.spawn(client.run, client.close)
+
+    def sweep(self) -> None:
+        """Every wait has an end."""
+        now = self.clock()
+        self.at(now + SWEEP, self.sweep)
+        for client in list(self.clients):
+            client.sweep(now)
+        for server in self.held.values():
+            server.close_idle(now - self.config.idle_limit // 2)
+
+    def figures(self) -> None:
+        self.at(self.clock() + FIGURES, self.figures)
+        log.say("figures", out=self.out, clients=len(self.clients), links=len(self.links),
+                alarms=len(self.alarms), lag_ms=self.lag // 1_000_000, cpu_s=round(time.process_time(), 2),
+                **log.counts)
+        self.lag = 0
+
+    async def terminate(self) -> None:
+        """SIGTERM: answer what comes and close behind it; leave when all is answered."""
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                break
+        log.say("stopping", out=self.out, clients=len(self.clients))
+        self.stopping = True
+        await anyio.sleep(STILL_COMING / SECOND)
+        ends = self.clock() + max(workload.patience for workload in self.config.workloads)
+        for client in list(self.clients):
+            if client.idle():
+                client.read_last()
+        while (self.out or any(client.left for client in self.clients)) and self.clock() < ends:
+            await anyio.sleep(0.01)
+        log.say("stopped", out=self.out, **log.counts)
+        self.tasks.cancel_scope.cancel()
+
+    async def serve(self, listener: socket.socket) -> None:
+        """Run until told to stop."""
+        async with anyio.create_task_group() as self.tasks:
+            if self.config.known:
+                self.told(self.config.known, True, cached=True)
+            self.spawn(self.terminate, self.tasks.cancel_scope.cancel)
+            self.spawn(self.discovery.run, lambda: None)
+            self.discovery.follow(self.following)
+            self.at(self.clock() + SWEEP, self.sweep)
+            self.at(self.clock() + FIGURES, self.figures)
+            # What is there by now stays: collecting it over and over would only stop the loop.
+            gc.collect()
+            gc.freeze()
+            gc.set_threshold(10_000, 20, 50)
+            self.tasks.start_soon(self.ring)
+            self.tasks.start_soon(self.accept, listener)
+            log.say("listening", address="%s:%d" % self.config.listen, debug=__debug__)
--- /dev/null
+++ b/whinpier/net/clients.py
@@ -0,0 +1,265 @@
+"""Owns the connections of clients: reads their tasks, answers each once, notices who has left.
+
+The headers of clients are read here and nowhere else. Must never write an answer that the balancer did not
+give, a second one, or a turn-back of its own for a task that the decisions have seen.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import socket
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
+
+import anyio
+import h11
+
+from whinpier.decay import SECOND
+from whinpier.model import EXCLUSIVE, RERUNNABLE, TICKETED, Task, Workload
+from whinpier.net import buffers, log
+from whinpier.net.upstreams import BODY, HOP
+
+if TYPE_CHECKING:
+    from whinpier.net.balancer import Balancer
+
+MARGIN = SECOND // 200  # the answer leaves that long before its client gives up: a way there and a late loop
+HALF = 5 * SECOND  # for one request to come whole: longer than any link needs for 64 KiB
+IDLE = 120 * SECOND  # between requests; clients keep connections and take no harm from losing one
+LINGER = SECOND  # for a client to take its last answer and close
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+class BadRequest(Exception):
+    """A request that is no task; the text says why."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+class Asked(Task):
+    """A task with the client that waits for it and what goes on to an upstream."""
+
+    def __init__(self, client: Client, workload: Workload, came: int, ends: int, headers: dict[bytes, bytes],
+                 body: bytes) -> None:
+        super().__init__(client.balancer.next_id(), workload, came, ends)
+        self.client, self.body = client, body
+        self.method, self.target = client.method, client.target
+        self.headers = [(name, value) for name, value in headers.items() if name not in HOP]
+
+
+def hashed(text: bytes) -> int:
+    """The same number for the same text at every balancer."""
+    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
+
+
+class Client:
+    """One connection of a client."""
+
+    def __init__(self, balancer: Balancer, sock: socket.socket) -> None:
+        self.balancer, self.sock = balancer, sock
+        self.parser = h11.Connection(h11.SERVER)
+        self.method, self.target, self.headers = b"", b"", dict[bytes, bytes]()
+        self.parts: list[bytes] = []
+        self.size, self.came, self.since = 0, 0, balancer.clock()
+        self.task: Asked | None = None
+        self.left = memoryview(b"")  # of an answer, what the socket has not taken yet
+        self.reading, self.last, self.closed = False, False, False
+
+    async def run(self) -> None:
+        """Take in what comes until the connection ends."""
+        try:
+            while not self.closed:
+                await anyio.wait_readable(self.sock)
+                self.read()
+        except (OSError, anyio.ClosedResourceError):
+            pass
+        finally:
+            self.close()
+
+    def read(self) -> None:
+        try:
+            if not buffers.feed(self.parser, self.sock):
+                self.close()
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close()
+        if self.closed or self.last:
+            return
+        if self.task is None:
+            self.came = self.balancer.clock()
+            self.parse()
+        elif len(self.parser.trailing_data[0]) > buffers.SIZE:
+            log.warn("client_floods")
+            self.close()
+
+    def parse(self) -> None:
+        """Take in requests as far as they have come; one at a time is worked on."""
+        try:
+            while not self.closed and not self.last and self.task is None:
+                event = self.parser.next_event()
+                if isinstance(event, h11.Request):
+                    self.begin(event)
+                elif isinstance(event, h11.Data):
+                    self.size += len(event.data)
+                    if self.size > BODY:
+                        raise BadRequest(413, "body too large")
+                    self.parts.append(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    self.reading = False
+                    self.request()
+                else:
+                    if self.parser.they_are_waiting_for_100_continue:
+                        go_on = h11.InformationalResponse(status_code=100, headers=[])
+                        self.put(self.parser.send(go_on) or b"")
+                    return
+        except BadRequest as bad:
+            self.refuse(bad)
+        except h11.RemoteProtocolError as fault:
+            self.refuse(BadRequest(fault.error_status_hint, str(fault)))
+
+    def begin(self, request: h11.Request) -> None:
+        self.method, self.target, self.headers = request.method, request.target, dict(request.headers)
+        self.parts, self.size, self.reading = [], 0, True
+
+    def request(self) -> None:
+        """A whole request: a question of the front, or a task."""
+        if self.target == b"/up":
+            ready = self.balancer.ready()
+            self.answer(200 if ready else 503, b"up\n" if ready else b"starting\n")
+            return
+        task = self.read_task()
+        if task.ends <= self.balancer.clock():
+            log.counts["came_too_late"] += 1
+            self.answer(504, b"too late\n")
+            return
+        self.task = task
+        self.balancer.take(task)
+
+    def read_task(self) -> Asked:
+        """The task that a request stands for, with all that its headers say of it."""
+        headers, balancer = self.headers, self.balancer
+        path, _, query = self.target.partition(b"?")
+        lane = path.lstrip(b"/").partition(b"/")[0]
+        workload = balancer.lanes.get(lane)
+        if workload is None or headers.get(b"x-lane", lane) != lane:
+            raise BadRequest(404, f"no such lane: {lane!r}")
+        ticket, body = headers.get(b"idempotency-key"), b"".join(self.parts)
+        if self.method != (b"GET" if workload.kind == RERUNNABLE else b"POST"):
+            raise BadRequest(405, f"{self.method!r} does not fit the lane")
+        if (workload.kind == TICKETED and not ticket or workload.kind == EXCLUSIVE and ticket
+                or workload.kind == RERUNNABLE and body):
+            raise BadRequest(400, "the lane's requests look otherwise")
+        if not headers.get(b"x-txn"):
+            raise BadRequest(400, "no X-Txn")
+        try:
+            remaining = float(headers[b"x-remaining"])
+        except (KeyError, ValueError):
+            raise BadRequest(400, "no X-Remaining that can be read") from None
+        if not math.isfinite(remaining):
+            raise BadRequest(400, "X-Remaining is not finite")
+        ends = self.came + min(int(remaining * SECOND), workload.patience) - MARGIN
+        task = Asked(self, workload, self.came, ends, headers, body)
+        key = parse_qs(query).get(b"obj", [b""])[0] if query else b""
+        key = key or headers.get(b"x-entity", b"")
+        task.key = hashed(key) if key else 0
+        task.tenant = balancer.tenants.get(headers.get(b"x-org", b""), 0)
+        task.repeat = headers.get(b"x-resent") == b"1"
+        return task
+
+    def refuse(self, bad: BadRequest) -> None:
+        """Answer what is no task, and end the connection."""
+        log.warn("bad_request", status=bad.status, why=bad)
+        self.parts = []
+        if self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self.answer(bad.status, f"{bad}\n".encode("utf-8", "replace"), last=True)
+        else:
+            self.close()
+
+    def answer(self, status: int, body: bytes, headers: list[tuple[bytes, bytes]] | None = None,
+               last: bool = False) -> None:
+        """Write the one answer to what was asked."""
+        self.task, self.parts = None, []
+        self.last = last or self.balancer.stopping
+        given = [*(headers or []), (b"content-length", b"%d" % len(body))]
+        if self.last:
+            given.append((b"connection", b"close"))
+        try:
+            head = h11.Response(status_code=status, headers=given, reason=REASONS.get(status, b""))
+            pieces = [self.parser.send(head), self.parser.send(h11.Data(data=body)),
+                      self.parser.send(h11.EndOfMessage())]
+        except h11.LocalProtocolError:
+            log.fault("answer_not_written", status=status)
+            self.close()
+            return
+        self.since = self.balancer.clock()
+        self.last = self.last or self.parser.our_state is not h11.DONE
+        self.put(b"".join(piece for piece in pieces if piece))
+        if self.closed:
+            return
+        if not self.last:
+            self.parser.start_next_cycle()
+            if self.parser.trailing_data[0]:
+                self.balancer.enter(self.parse)  # what came ahead of its turn, but from outside any decision
+
+    def put(self, data: bytes) -> None:
+        if self.left:
+            self.left = memoryview(bytes(self.left) + data)
+            return
+        self.left = memoryview(data)
+        self.flush()
+        if self.left and not self.closed:
+            self.balancer.spawn(self.drain, self.close)
+
+    def flush(self) -> None:
+        try:
+            self.left = self.left[self.sock.send(self.left):]
+            if not self.left and self.last:
+                self.sock.shutdown(socket.SHUT_WR)  # closing at once could cut off what is still on its way
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.close()
+
+    async def drain(self) -> None:
+        while self.left and not self.closed:
+            try:
+                await anyio.wait_writable(self.sock)
+            except (OSError, anyio.ClosedResourceError):
+                return
+            self.flush()
+
+    def sweep(self, now: int) -> None:
+        """Every wait for a client has an end."""
+        if self.last:
+            if now > self.since + (IDLE if self.left else LINGER):
+                self.close()
+        elif self.reading:
+            if now > self.came + HALF:
+                self.refuse(BadRequest(408, "half a request"))
+        elif self.task is None and now > self.since + IDLE:
+            self.close()
+
+    def read_last(self) -> None:
+        """Take in what may just have come, or close."""
+        self.read()
+        if not self.closed and self.idle():
+            self.close()
+
+    def idle(self) -> bool:
+        return self.task is None and not self.reading and not self.last and not self.left
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self.balancer.clients.discard(self)
+        anyio.notify_closing(self.sock)
+        self.sock.close()
+        if task := self.task:
+            self.task = None
+            self.balancer.client_left(task)
+        self.balancer.roomier()
--- /dev/null
+++ b/whinpier/net/config.py
@@ -0,0 +1,164 @@
+"""The one place where the environment and the configuration file are read, checked and given defaults.
+
+Owns the names of keys, the units they come in and what is said about a faulty one. Must never be asked again
+after the start, and must never let a fault through without the name of its key.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from whinpier import settings as common
+from whinpier.model import DRAINING, GONE, READY, WireError, Workload
+
+Address = tuple[str, int]
+STATES = {"up": READY, "draining": DRAINING, "removed": GONE}
+
+
+class ConfigFault(Exception):
+    """What is configured cannot be used; the text names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One upstream of the list, as `known` and discovery give it."""
+
+    host: str
+    dial: Address
+    state: str
+    zone: str
+    shape: str
+    cell: int
+    size: float
+    started: int
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: list[Entry]
+    seq: int | None
+    settings: dict[str, Any]
+    workloads: list[Workload]
+    zones: list[str]
+    kinds: list[str]
+    tenants: list[str]
+    connect_limit: int
+    idle_limit: int
+
+
+def address(text: Any, key: str) -> Address:
+    host, mark, port = str(text).rpartition(":")
+    if not (isinstance(text, str) and mark and host and port.isascii() and port.isdigit()
+            and 0 < int(port) < 65536):
+        raise ConfigFault(f"{key}: {text!r} is not HOST:PORT")
+    return host, int(port)
+
+
+def entries(hosts: Any) -> list[Entry]:
+    """The entries of a list, all or none."""
+    try:
+        return [Entry(str(host["host"]), address(host["dial"], "dial"), STATES[host["health"]],
+                      str(host.get("site", "")), str(host.get("class", "")), int(host.get("block", 0)),
+                      float(host.get("share", 1.0)), int(host.get("born_ms", 0)) * 1_000_000)
+                for host in hosts]
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as fault:
+        raise ConfigFault(f"hosts: {type(fault).__name__}: {fault}") from None
+
+
+def flat(value: Any, at: str = "") -> Iterator[tuple[str, Any]]:
+    """Nested settings as path and plain value, in the form of the simulator's first message."""
+    if isinstance(value, dict):
+        for name, inner in value.items():
+            yield from flat(inner, f"{at}.{name}" if at else name)
+    elif isinstance(value, list) and any(isinstance(inner, (dict, list)) for inner in value):
+        yield f"{at}.count", len(value)
+        for index, inner in enumerate(value):
+            yield from flat(inner, f"{at}.{index}")
+    elif isinstance(value, list):
+        yield at, ",".join(str(inner) for inner in value)
+    else:
+        yield at, value
+
+
+def names(found: dict[str, Any], key: str) -> list[str]:
+    """A list of names, or of objects that have one."""
+    if f"{key}.count" in found:
+        return [str(found.get(f"{key}.{index}.name", index)) for index in range(found[f"{key}.count"])]
+    return [name for name in str(found.get(key) or "").split(",") if name]
+
+
+def checked(found: dict[str, Any], key: str, kind: type, default: Any, least: float | None = None) -> Any:
+    value = found.get(key, default)
+    good = isinstance(value, (int, float) if kind is float else kind) and not (kind is int and value is True)
+    if not good or (least is not None and value < least):
+        floor = f" of at least {least}" if least is not None else ""
+        raise ConfigFault(f"{key}: {value!r} is not {kind.__name__}{floor}")
+    return value
+
+
+def check_settings(found: dict[str, Any]) -> list[Workload]:
+    """The workloads, after every figure that the balancer or its decisions rely on has been looked at."""
+    checked(found, "workloads.count", int, None, 1)
+    for index in range(found["workloads.count"]):
+        for name in ("agreed_time", "patience"):
+            checked(found, f"workloads.{index}.{name}", int, None, 1)
+        checked(found, f"workloads.{index}.payoff", float, 1.0, 0)
+        checked(found, f"workloads.{index}.window", int, 0, 0)
+    for key, least in {"balancers": 1, "slot_no": 0, "zone": 0, "limits.max_hand_offs": 1, "rules.cold": 0,
+                       "limits.connect_timeout": 1, "limits.keepalive": 1}.items():
+        checked(found, key, int, least, least)
+    for key in ("goal.whole", "goal.worst_class", "rules.cold_from", "prices.cross_zone"):
+        checked(found, key, float, 0.0, 0)
+    for key in ("limits.cancelling", "limits.second_copies", "family_info.warm_keys"):
+        checked(found, key, bool, False)
+    try:
+        return common.workloads(found)
+    except (WireError, TypeError, ValueError) as fault:
+        raise ConfigFault(f"settings: {fault}") from None
+
+
+def read(environment: Mapping[str, str]) -> Config:
+    """The configuration; what the environment says goes before the file."""
+    path = environment.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigFault("BALANCER_CONFIG: is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            given = json.load(file)
+    except (OSError, ValueError) as fault:
+        raise ConfigFault(f"BALANCER_CONFIG: {path}: {fault}") from None
+    if not isinstance(given, dict):
+        raise ConfigFault(f"BALANCER_CONFIG: {path}: holds no object")
+    for key, variable in (("name", "BALANCER_NAME"), ("listen", "BALANCER_LISTEN"),
+                          ("discovery", "BALANCER_DISCOVERY")):
+        given[key] = environment.get(variable) or given.get(key)
+    limits, known = checked(given, "limits", dict, {}), checked(given, "known", dict, {})
+    try:
+        seed = int(given.get("seed", ""), 16) if isinstance(given.get("seed"), str) else int(given["seed"])
+    except (KeyError, TypeError, ValueError):
+        raise ConfigFault(f"seed: {given.get('seed')!r} is not a hexadecimal number") from None
+    if "settings" not in given:
+        raise ConfigFault("settings: is missing")
+    found = common.settings(flat(checked(given, "settings", dict, {})))
+    workloads = check_settings(found)
+    return Config(
+        name=str(given["name"] or "balancer"), listen=address(given["listen"], "listen"),
+        discovery=address(given["discovery"], "discovery"), seed=seed,
+        # 1,024 is what a process may usually hold; fewer than 64 leave nothing to work with.
+        sockets=checked({"limits.sockets": limits.get("sockets", 1024)}, "limits.sockets", int, 1024, 64),
+        known=entries(known.get("hosts", [])),
+        seq=known.get("seq") if isinstance(known.get("seq"), int) else None,
+        settings=found, workloads=workloads, zones=names(found, "failure_domains"),
+        kinds=names(found, "kinds"), tenants=names(found, "orgs"),
+        # A quarter of a second and a minute are what the simulator's settings say where they are given.
+        connect_limit=found.get("limits.connect_timeout", 250_000_000),
+        idle_limit=found.get("limits.keepalive", 60_000_000_000),
+    )
--- /dev/null
+++ b/whinpier/net/discovery.py
@@ -0,0 +1,116 @@
+"""Owns the connection to discovery: the list, then a watch of its changes, taken up again when it is lost.
+
+Must never let through anything but a whole, well-formed piece of the list: till then the last good one stays.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Callable
+
+import anyio
+import h11
+
+from whinpier.net import buffers, log
+from whinpier.net.config import Config, ConfigFault, Entry, entries
+
+SILENCE = 3.0  # seconds: a line comes at least every 2, so that one is missing
+CONNECT = 1.0  # seconds: it is on this machine
+FIRST, LONGEST = 0.05, 1.0  # seconds between tries: what it tells counts as told 6 s later at the latest
+LINE = 4 * 1024 * 1024  # the longest line: thousands of upstreams
+
+
+class Discovery:
+    """Follows the list."""
+
+    def __init__(self, config: Config, told: Callable[[list[Entry], bool], None],
+                 chance: Callable[[], float]) -> None:
+        self.address, self.told, self.chance = config.discovery, told, chance
+        self.seq = config.seq
+        self.wanted = anyio.Event()
+        self.following, self.once = False, False
+        self.wait = FIRST
+        self.sock: socket.socket | None = None
+
+    def follow(self, on: bool) -> None:
+        self.following = on
+        self.wake() if on else self.hang_up()
+
+    def fetch(self) -> None:
+        self.once = True
+        self.wake()
+
+    def wake(self) -> None:
+        self.wanted.set()
+
+    def hang_up(self) -> None:
+        if self.sock:
+            anyio.notify_closing(self.sock)
+
+    async def run(self) -> None:
+        while True:
+            if not (self.following or self.once):
+                self.wanted = anyio.Event()
+                await self.wanted.wait()
+            why: object = "ended"
+            try:
+                if self.once or self.seq is None:
+                    await self.ask("")
+                    self.once = False
+                    continue
+                await self.ask(f"?watch=1&from={self.seq}")
+            except ConfigFault as fault:
+                self.seq, why = None, fault  # what was missed is not known: the whole list is
+            except (OSError, h11.RemoteProtocolError, anyio.ClosedResourceError, TimeoutError) as lost:
+                why = repr(lost)
+            log.warn("discovery_lost", why=why)
+            await anyio.sleep(self.wait * (0.5 + self.chance()))
+            self.wait = min(2 * self.wait, LONGEST)
+
+    async def ask(self, query: str) -> None:
+        """Take in the lines of one answer as they come; the whole list alone is one line."""
+        parser, rest = h11.Connection(h11.CLIENT), b""
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as self.sock:
+            try:
+                with anyio.fail_after(CONNECT):
+                    self.sock.connect_ex(self.address)
+                    await anyio.wait_writable(self.sock)
+                asked = h11.Request(method="GET", target="/discovery/hosts" + query,
+                                    headers=[("host", "discovery"), ("accept", "application/json")])
+                self.sock.send((parser.send(asked) or b"") + (parser.send(h11.EndOfMessage()) or b""))
+                while not isinstance(event := parser.next_event(), (h11.EndOfMessage, h11.ConnectionClosed)):
+                    if event is h11.NEED_DATA:
+                        with anyio.fail_after(SILENCE):
+                            await anyio.wait_readable(self.sock)
+                        buffers.feed(parser, self.sock)
+                    elif isinstance(event, h11.Response) and event.status_code != 200:
+                        raise ConfigFault(f"status {event.status_code}")
+                    elif isinstance(event, h11.Data):
+                        *lines, rest = (rest + event.data).split(b"\n")
+                        for line in lines:
+                            self.line(line)
+                        if len(rest) > LINE:
+                            raise ConfigFault("a line without end")
+                if not query:
+                    self.line(rest)
+            finally:
+                self.sock = None
+
+    def line(self, line: bytes) -> None:
+        """One piece of the list; an empty line only says that the watch stands."""
+        if not line.strip():
+            return
+        try:
+            found = json.loads(line)
+            seq, whole, hosts = found["seq"], found["whole"], found["hosts"]
+        except (ValueError, KeyError, TypeError) as fault:
+            raise ConfigFault(f"{type(fault).__name__}: {fault}") from None
+        if not (isinstance(seq, int) and isinstance(whole, bool) and isinstance(hosts, list)):
+            raise ConfigFault("seq, whole or hosts are of another kind")
+        if not whole and (self.seq is None or seq < self.seq):
+            raise ConfigFault(f"changes up to {seq} do not join what is known up to {self.seq}")
+        told = entries(hosts)
+        self.seq, self.wait = seq, FIRST
+        if told or whole:
+            self.told(told, whole)
--- /dev/null
+++ b/whinpier/net/upstreams.py
@@ -0,0 +1,300 @@
+"""Owns the connections to upstreams: pooled, one task at a time on each, and what became of every hand-off.
+
+An outcome hangs on whether the last byte of the task was written: before that it never ran, from then on it
+may have. Must never send a hand-off twice, send on a connection that has ended, or tell two outcomes of one.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections import deque
+from typing import TYPE_CHECKING
+
+import anyio
+import h11
+
+from whinpier.decay import SECOND
+from whinpier.model import ERROR, FULFILLED, FULL, MOOT, NO_CONNECTION, READY, RESET, HandOff, Upstream
+from whinpier.net import buffers, log
+from whinpier.net.config import Address
+from whinpier.settings import COLUMNS
+
+if TYPE_CHECKING:
+    from whinpier.net.balancer import Balancer
+    from whinpier.net.clients import Asked
+
+BODY = 64 * 1024  # the largest body, by the protocol
+INTERIM = 8  # interim answers to one task: more are rubbish
+# A kept connection is let go at half its idle limit: the other side may close it any time from then on, and
+# what is written to one just closed may have run.
+KEEP = 0.5
+HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+                 b"upgrade", b"expect", b"x-remaining"))  # not passed on
+
+
+class Answer:
+    """What an upstream sent for one hand-off, as far as it has come."""
+
+    __slots__ = ("status", "headers", "parts", "size", "interim")
+
+    def __init__(self) -> None:
+        self.status, self.size, self.interim = 0, 0, 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.parts: list[bytes] = []
+
+    def header(self, name: bytes) -> bytes | None:
+        return next((value for given, value in self.headers if given == name), None)
+
+    def outcome(self) -> str:
+        if self.status == 200:
+            return FULFILLED
+        turned_away = self.status in (503, 504) and self.header(b"x-turned-away") == b"1"
+        return FULL if turned_away else ERROR
+
+    def load(self) -> dict[str, float] | None:
+        """The load report, where one came with it, by our names."""
+        found: dict[str, float] = {}
+        for part in (self.header(b"x-pressure") or b"").decode("latin-1").split(","):
+            name, _, text = part.strip().partition("=")
+            try:
+                figure = float(text)
+            except ValueError:
+                continue
+            if 0.0 <= figure < float("inf"):
+                found[COLUMNS.get(name, name)] = figure
+        return found or None
+
+
+class Sending(HandOff):
+    """A hand-off on its way."""
+
+    def __init__(self, task: Asked, server: Server, now: int) -> None:
+        super().__init__(task, server, len(task.hand_offs), now)
+        self.asked, self.server = task, server
+        self.link: Link | None = None
+        self.settled = False  # its outcome is told, or about to be
+
+
+class Server(Upstream):
+    """An upstream with its connections."""
+
+    def __init__(self, balancer: Balancer, number: int, state: str, started: int, address: Address) -> None:
+        super().__init__(number, state, 0, 0, started)
+        self.balancer, self.address = balancer, address
+        self.idle: list[Link] = []  # the one last used is used next, so that the others can go
+        self.waiting: deque[Sending] = deque()  # hand-offs that wait for a connection
+        self.opening = 0
+
+    def send(self, sending: Sending) -> None:
+        while self.idle:
+            link = self.idle.pop()
+            if link.sound():
+                link.start(sending)
+                return
+            link.close()
+        self.waiting.append(sending)
+        # What waits takes whichever comes first, a new connection or one that falls free.
+        if len(self.waiting) > self.opening:
+            if self.balancer.make_room():
+                self.opening += 1
+                self.balancer.links.add(link := Link(self))
+                self.balancer.spawn(link.run, link.close)
+            else:
+                self.waiting.remove(sending)
+                self.balancer.settle(sending, MOOT)
+
+    def free(self, link: Link) -> None:
+        """A connection can take a hand-off."""
+        if self.state != READY or link.address != self.address:
+            link.close()
+        elif self.waiting:
+            link.start(self.waiting.popleft())
+        else:
+            link.since = self.balancer.clock()
+            self.idle.append(link)
+
+    def not_opened(self, link: Link) -> None:
+        """A connection did not come up: whoever waited for it longest has its outcome."""
+        if len(self.waiting) > self.opening:
+            self.balancer.settle(self.waiting.popleft(), NO_CONNECTION)
+
+    def moved(self, address: Address) -> None:
+        if address != self.address:
+            self.address = address
+            self.close_idle()
+
+    def close_idle(self, since: int | None = None) -> None:
+        for link in [link for link in self.idle if since is None or link.since < since]:
+            link.close()
+
+    def retire(self) -> None:
+        """It is to get nothing new: what still waits to be sent is not sent, and idle connections go."""
+        self.close_idle()
+        while self.waiting:
+            self.balancer.settle(self.waiting.popleft(), MOOT)
+
+
+class Link:
+    """One connection to an upstream."""
+
+    __slots__ = ("server", "balancer", "address", "sock", "parser", "sending", "answer", "left", "since",
+                 "up", "closed")
+
+    def __init__(self, server: Server) -> None:
+        self.server, self.balancer, self.address = server, server.balancer, server.address
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.parser = h11.Connection(h11.CLIENT)
+        self.sending: Sending | None = None
+        self.answer = Answer()
+        self.left = memoryview(b"")  # of what is sent, what the socket has not taken yet
+        self.since, self.up, self.closed = 0, False, False
+
+    async def run(self) -> None:
+        """Connect, then take in what comes until the connection ends."""
+        try:
+            self.balancer.at(self.balancer.clock() + self.balancer.config.connect_limit, self.late)
+            if self.sock.connect_ex(self.address) not in (0, errno.EINPROGRESS):
+                return
+            await anyio.wait_writable(self.sock)
+            if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                return
+            self.up, self.server.opening = True, self.server.opening - 1
+            self.server.free(self)
+            while not self.closed:
+                await anyio.wait_readable(self.sock)
+                self.read()
+        except (OSError, anyio.ClosedResourceError):
+            pass
+        finally:
+            self.close()
+
+    def late(self) -> None:
+        if not self.up:
+            self.close()
+
+    def sound(self) -> bool:
+        """Whether an idle connection still stands and holds nothing that nobody asked for."""
+        if self.since < self.balancer.clock() - int(KEEP * self.balancer.config.idle_limit):
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
+    def start(self, sending: Sending) -> None:
+        """Write a hand-off; what the socket does not take at once goes out as it can."""
+        log.must(self.sending is None and not self.closed, "a connection carries one task at a time")
+        log.must(sending.outcome is None, "what has its outcome is not sent")
+        self.sending, sending.link, self.answer = sending, self, Answer()
+        asked = sending.asked
+        remaining = max(0, asked.ends - self.balancer.clock()) / SECOND
+        head = h11.Request(method=asked.method, target=asked.target,
+                           headers=[*asked.headers, (b"x-remaining", b"%.3f" % remaining)])
+        pieces = [self.parser.send(head), self.parser.send(h11.Data(data=asked.body)),
+                  self.parser.send(h11.EndOfMessage())]
+        self.left = memoryview(b"".join(piece for piece in pieces if piece))
+        self.flush()
+        if self.left and not self.closed:
+            self.balancer.spawn(self.drain, self.close)
+
+    def flush(self) -> None:
+        try:
+            self.left = self.left[self.sock.send(self.left):]
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.close()
+
+    async def drain(self) -> None:
+        while self.left and not self.closed:
+            try:
+                await anyio.wait_writable(self.sock)
+            except (OSError, anyio.ClosedResourceError):
+                return
+            self.flush()
+
+    def read(self) -> None:
+        try:
+            buffers.feed(self.parser, self.sock)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close()
+            return
+        if self.sending is None:
+            self.close()  # it has ended, or sends what nobody asked for
+            return
+        try:
+            while not self.closed and self.take(self.parser.next_event()):
+                pass
+        except h11.RemoteProtocolError as fault:
+            log.warn("upstream_rubbish", upstream=self.server.id, fault=fault)
+            self.close()
+
+    def take(self, event: object) -> bool:
+        """One piece of an answer; False when there is no more for now."""
+        answer = self.answer
+        if isinstance(event, h11.Response):
+            answer.status, answer.headers = event.status_code, list(event.headers)
+            framed = answer.header(b"content-length") or answer.header(b"transfer-encoding")
+            if answer.status == 200 and framed is None:
+                raise h11.RemoteProtocolError("a body whose end can't be told from a break")
+        elif isinstance(event, h11.InformationalResponse):
+            answer.interim += 1
+            if answer.interim > INTERIM:
+                raise h11.RemoteProtocolError("too many interim answers")
+        elif isinstance(event, h11.Data):
+            answer.size += len(event.data)
+            if answer.size > BODY:
+                raise h11.RemoteProtocolError("body too large")
+            answer.parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self.finish()
+            return False
+        else:  # nothing more yet, or the connection has ended
+            if event is not h11.NEED_DATA:
+                self.close()
+            return False
+        return True
+
+    def finish(self) -> None:
+        """An answer is whole: the connection is free again before its outcome is told."""
+        sending, answer, self.sending = self.sending, self.answer, None
+        assert sending is not None
+        sending.link = None
+        sent = not self.left
+        if sent and self.parser.their_state is h11.DONE and self.parser.our_state is h11.DONE:
+            self.parser.start_next_cycle()
+            self.server.free(self)
+        else:
+            self.close()
+        self.balancer.settle(sending, answer.outcome(), answer)
+
+    def close(self) -> None:
+        """End the connection. A hand-off on it has its outcome by whether it was written whole."""
+        if self.closed:
+            return
+        self.closed = True
+        self.balancer.links.discard(self)
+        if self in self.server.idle:
+            self.server.idle.remove(self)
+        anyio.notify_closing(self.sock)
+        self.sock.close()
+        if not self.up:
+            self.server.opening -= 1
+            self.server.not_opened(self)
+        if sending := self.sending:
+            self.sending = sending.link = None
+            self.balancer.settle(sending, NO_CONNECTION if self.left else RESET)
+        self.balancer.roomier()
+
+    def give_up(self) -> None:
+        """Close without an outcome: whoever gives up tells it."""
+        if sending := self.sending:
+            self.sending = sending.link = None
+        self.close()
--- a/whinpier/simhost/instance.py
+++ b/whinpier/simhost/instance.py
@@ -6,8 +6,8 @@
 
 from whinpier.choice import Choice
 from whinpier.model import (DRAINING, ERROR, GONE, READY, HandOff, Task, Upstream)
+from whinpier.settings import US, workloads
 from whinpier.simhost import wire
-from whinpier.simhost.wire import US
 
 ALL = 0xFFFFFFFF
 U32 = 0xFFFFFFFF
@@ -21,7 +21,7 @@
         self.out = bytearray()
         self.actions = 0
         found = wire.settings(text)
-        self.workloads = wire.workloads(found)
+        self.workloads = workloads(found)
         self.columns: list[str] = found["report.columns"]
         self.tasks: dict[int, Task] = {}
         self.listed: dict[int, Upstream] = {}
