--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -236,6 +236,9 @@
 
     def told(self, entries: list[Entry], whole: bool, cached: bool = False) -> None:
         """Follow what discovery says; a restart of an upstream is a new one in its place."""
+        self.told_once = self.told_once or not cached
+        if not entries and not whole:
+            return  # nothing has changed
         held = {} if whole else dict(self.held)
         for entry in entries:
             server = self.held.get(entry.host)
@@ -250,7 +253,6 @@
             server.moved(entry.dial)
             held[entry.host] = server
         before, self.held = self.held, held
-        self.told_once = self.told_once or not cached
         for host, server in before.items():
             if held.get(host) is not server:
                 server.state = GONE
@@ -297,14 +299,13 @@
             await anyio.wait_readable(listener)
             while self.make_room():
                 try:
-                    sock, _ = listener.accept()
+                    self.welcome(listener.accept()[0])
                 except BlockingIOError:
                     break
                 except OSError as fault:
                     log.warn("accept_failed", fault=fault)
                     await anyio.sleep(0.01)
                     break
-                self.welcome(sock)
             else:
                 log.warn("descriptors_used_up", clients=len(self.clients), links=len(self.links))
                 self.space = anyio.Event()
@@ -346,7 +347,9 @@
         for client in list(self.clients):
             if client.idle():
                 client.read_last()
-        while (self.out or any(client.left for client in self.clients)) and self.clock() < ends:
+        while self.out or any(client.left or client.reading for client in self.clients):
+            if self.clock() > ends:
+                break
             await anyio.sleep(0.01)
         log.say("stopped", out=self.out, **log.counts)
         self.tasks.cancel_scope.cancel()
--- a/whinpier/net/buffers.py
+++ b/whinpier/net/buffers.py
@@ -35,3 +35,12 @@
         return count
     finally:
         give(buffer)
+
+
+def discard(sock: socket.socket) -> int:
+    """Take what has come on a socket for nobody, and say how much; 0 at its end."""
+    buffer = take()
+    try:
+        return sock.recv_into(buffer)
+    finally:
+        give(buffer)
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -25,7 +25,7 @@
     from whinpier.net.balancer import Balancer
 
 MARGIN = SECOND // 200  # the answer leaves that long before its client gives up: a way there and a late loop
-HALF = 5 * SECOND  # for one request to come whole: longer than any link needs for 64 KiB
+HALF = 5 * SECOND  # for one request or answer to pass whole: longer than any link needs for 64 KiB
 IDLE = 120 * SECOND  # between requests; clients keep connections and take no harm from losing one
 LINGER = SECOND  # for a client to take its last answer and close
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -63,10 +63,10 @@
         self.parser = h11.Connection(h11.SERVER)
         self.method, self.target, self.headers = b"", b"", dict[bytes, bytes]()
         self.parts: list[bytes] = []
-        self.size, self.came, self.since = 0, 0, balancer.clock()
+        self.size, self.since = 0, balancer.clock()  # since when it is idle, is read, is answered for good
         self.task: Asked | None = None
         self.left = memoryview(b"")  # of an answer, what the socket has not taken yet
-        self.reading, self.last, self.closed = False, False, False
+        self.reading, self.begun, self.last, self.closed = False, False, False, False
 
     async def run(self) -> None:
         """Take in what comes until the connection ends."""
@@ -81,7 +81,7 @@
 
     def read(self) -> None:
         try:
-            if not buffers.feed(self.parser, self.sock):
+            if not (buffers.discard(self.sock) if self.last else buffers.feed(self.parser, self.sock)):
                 self.close()
         except BlockingIOError:
             return
@@ -90,7 +90,8 @@
         if self.closed or self.last:
             return
         if self.task is None:
-            self.came = self.balancer.clock()
+            if not self.reading:
+                self.reading, self.since = True, self.balancer.clock()
             self.parse()
         elif len(self.parser.trailing_data[0]) > buffers.SIZE:
             log.warn("client_floods")
@@ -109,9 +110,10 @@
                         raise BadRequest(413, "body too large")
                     self.parts.append(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage):
-                    self.reading = False
+                    self.reading = self.begun = False
                     self.request()
                 else:
+                    self.reading = self.begun or bool(self.parser.trailing_data[0])
                     if self.parser.they_are_waiting_for_100_continue:
                         go_on = h11.InformationalResponse(status_code=100, headers=[])
                         self.put(self.parser.send(go_on) or b"")
@@ -123,7 +125,7 @@
 
     def begin(self, request: h11.Request) -> None:
         self.method, self.target, self.headers = request.method, request.target, dict(request.headers)
-        self.parts, self.size, self.reading = [], 0, True
+        self.parts, self.size, self.begun = [], 0, True
 
     def request(self) -> None:
         """A whole request: a question of the front, or a task."""
@@ -161,8 +163,9 @@
             raise BadRequest(400, "no X-Remaining that can be read") from None
         if not math.isfinite(remaining):
             raise BadRequest(400, "X-Remaining is not finite")
-        ends = self.came + min(int(remaining * SECOND), workload.patience) - MARGIN
-        task = Asked(self, workload, self.came, ends, headers, body)
+        came = balancer.clock()
+        ends = came + min(int(remaining * SECOND), workload.patience) - MARGIN
+        task = Asked(self, workload, came, ends, headers, body)
         key = parse_qs(query).get(b"obj", [b""])[0] if query else b""
         key = key or headers.get(b"x-entity", b"")
         task.key = hashed(key) if key else 0
@@ -173,7 +176,7 @@
     def refuse(self, bad: BadRequest) -> None:
         """Answer what is no task, and end the connection."""
         log.warn("bad_request", status=bad.status, why=bad)
-        self.parts = []
+        self.reading = False
         if self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.answer(bad.status, f"{bad}\n".encode("utf-8", "replace"), last=True)
         else:
@@ -234,13 +237,14 @@
 
     def sweep(self, now: int) -> None:
         """Every wait for a client has an end."""
-        if self.last:
-            if now > self.since + (IDLE if self.left else LINGER):
-                self.close()
-        elif self.reading:
-            if now > self.came + HALF:
-                self.refuse(BadRequest(408, "half a request"))
-        elif self.task is None and now > self.since + IDLE:
+        if self.task is not None:
+            return  # the task's own end is the limit
+        waited = now - self.since
+        if self.left or self.reading:
+            if waited > HALF:
+                log.warn("slow_client", reading=self.reading)
+                self.close() if self.left else self.refuse(BadRequest(408, "half a request"))
+        elif waited > (LINGER if self.last else IDLE):
             self.close()
 
     def read_last(self) -> None:
--- a/whinpier/net/discovery.py
+++ b/whinpier/net/discovery.py
@@ -15,8 +15,8 @@
 from whinpier.net import buffers, log
 from whinpier.net.config import Config, ConfigFault, Entry, entries
 
-SILENCE = 3.0  # seconds: a line comes at least every 2, so that one is missing
-CONNECT = 1.0  # seconds: it is on this machine
+SILENCE = 2.5  # seconds: a line comes at least every 2, so that one is missing
+ANSWER = 1.0  # seconds to connect, and as long until an answer begins: it is on this machine
 FIRST, LONGEST = 0.05, 1.0  # seconds between tries: what it tells counts as told 6 s later at the latest
 LINE = 4 * 1024 * 1024  # the longest line: thousands of upstreams
 
@@ -62,18 +62,21 @@
                 await self.ask(f"?watch=1&from={self.seq}")
             except ConfigFault as fault:
                 self.seq, why = None, fault  # what was missed is not known: the whole list is
-            except (OSError, h11.RemoteProtocolError, anyio.ClosedResourceError, TimeoutError) as lost:
+            except (OSError, h11.RemoteProtocolError, anyio.ClosedResourceError) as lost:
                 why = repr(lost)
+            except Exception as fault:  # whatever it was: without the list the balancer goes blind
+                log.fault("discovery_fault")
+                why = repr(fault)
             log.warn("discovery_lost", why=why)
             await anyio.sleep(self.wait * (0.5 + self.chance()))
             self.wait = min(2 * self.wait, LONGEST)
 
     async def ask(self, query: str) -> None:
         """Take in the lines of one answer as they come; the whole list alone is one line."""
-        parser, rest = h11.Connection(h11.CLIENT), b""
+        parser, rest, begun = h11.Connection(h11.CLIENT), b"", False
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as self.sock:
             try:
-                with anyio.fail_after(CONNECT):
+                with anyio.fail_after(ANSWER):
                     self.sock.connect_ex(self.address)
                     await anyio.wait_writable(self.sock)
                 asked = h11.Request(method="GET", target="/discovery/hosts" + query,
@@ -81,11 +84,13 @@
                 self.sock.send((parser.send(asked) or b"") + (parser.send(h11.EndOfMessage()) or b""))
                 while not isinstance(event := parser.next_event(), (h11.EndOfMessage, h11.ConnectionClosed)):
                     if event is h11.NEED_DATA:
-                        with anyio.fail_after(SILENCE):
+                        with anyio.fail_after(SILENCE if begun else ANSWER):
                             await anyio.wait_readable(self.sock)
                         buffers.feed(parser, self.sock)
-                    elif isinstance(event, h11.Response) and event.status_code != 200:
-                        raise ConfigFault(f"status {event.status_code}")
+                    elif isinstance(event, h11.Response):
+                        begun = True
+                        if event.status_code != 200:
+                            raise ConfigFault(f"status {event.status_code}")
                     elif isinstance(event, h11.Data):
                         *lines, rest = (rest + event.data).split(b"\n")
                         for line in lines:
@@ -112,5 +117,4 @@
             raise ConfigFault(f"changes up to {seq} do not join what is known up to {self.seq}")
         told = entries(hosts)
         self.seq, self.wait = seq, FIRST
-        if told or whole:
-            self.told(told, whole)
+        self.told(told, whole)
--- a/whinpier/net/log.py
+++ b/whinpier/net/log.py
@@ -1,6 +1,6 @@
 """Owns what the balancer tells its operators: key=value lines, bounded in rate, and counters.
 
-Must never block on a reader, raise into its caller, or let one repeated trouble flood the log.
+Must never raise into its caller, or let one repeated trouble flood the log.
 """
 
 from __future__ import annotations
