--- a/whinpier/__main__.py
+++ b/whinpier/__main__.py
@@ -33,7 +33,7 @@
         except OSError as fault:
             log.warn("cannot_listen", address="%s:%d" % config.listen, fault=fault)
             return 1
-        anyio.run(run, listener, config, backend_options={"use_uvloop": True})
+        anyio.run(run, listener, config)
     return 0
 
 
