--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,93 @@
+"""Stories of the start: what is wrong with a configuration is said in one line; what log lines look like."""
+
+import json
+import logging
+import os
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from whinpier.net import log
+
+GIVEN = json.loads(Path("example/config.json").read_text())
+
+
+def run(path, *options):
+    environment = os.environ | {"BALANCER_CONFIG": str(path)}
+    return subprocess.run([sys.executable, *options, "-m", "whinpier"], env=environment, capture_output=True,
+                          text=True, timeout=20)
+
+
+def put(given, key, value):
+    *path, last = key.split("/")
+    for step in path:
+        given = given[int(step) if step.isdigit() else step]
+    given[last] = value
+
+
+@pytest.mark.parametrize("key, value, said", [
+    ("listen", "nowhere", "listen"),
+    ("listen", "127.0.0.1:99999", "listen"),
+    ("discovery", None, "discovery"),
+    ("seed", "xyz", "seed"),
+    ("limits", 7, "limits"),
+    ("limits/sockets", 10, "limits.sockets"),
+    ("limits/sockets", "many", "limits.sockets"),
+    ("known", [], "known"),
+    ("known/hosts", [{"host": "a", "dial": "a:1"}], "hosts"),
+    ("settings", [], "settings"),
+    ("settings/workloads", [], "workloads.count"),
+    ("settings/workloads/0/semantics", "sometimes", "workloads.0.semantics"),
+    ("settings/workloads/1/patience_us", "long", "workloads.1.patience"),
+    ("settings/workloads/1/agreed_time_us", 0, "workloads.1.agreed_time"),
+    ("settings/workloads/0/payoff", "much", "workloads.0.payoff"),
+    ("settings/balancers", 0, "balancers"),
+    ("settings/rules/cold_from", "cold", "rules.cold_from"),
+    ("settings/limits/max_hand_offs", True, "limits.max_hand_offs"),
+    ("settings/limits/cancelling", "perhaps", "limits.cancelling"),
+])
+def test_a_faulty_configuration_is_said_in_one_line_that_names_the_key(tmp_path, key, value, said):
+    given = json.loads(json.dumps(GIVEN))
+    put(given, key, value)
+    (tmp_path / "c.json").write_text(json.dumps(given))
+    ended = run(tmp_path / "c.json")
+    assert ended.returncode == 2 and len(ended.stderr.splitlines()) == 1
+    assert "event=configuration_fault" in ended.stderr and f"{said}:" in ended.stderr
+
+
+@pytest.mark.parametrize("text", [None, "", "[]", "{", "\0"])
+def test_a_configuration_that_cannot_be_read_is_said_too(tmp_path, text):
+    if text is not None:
+        (tmp_path / "c.json").write_text(text)
+    ended = run(tmp_path / "c.json")
+    assert ended.returncode == 2 and "BALANCER_CONFIG: " in ended.stderr
+
+
+def test_an_address_in_use_ends_the_start_with_one_line(tmp_path):
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.2", 0))
+        taken.listen()
+        (tmp_path / "c.json").write_text(json.dumps(GIVEN | {"listen": "%s:%d" % taken.getsockname()}))
+        ended = run(tmp_path / "c.json")
+    assert ended.returncode == 1 and "event=cannot_listen" in ended.stderr
+    assert len(ended.stderr.splitlines()) == 1
+
+
+@pytest.mark.parametrize("options, code", [([], 1), (["-O"], 0)])
+def test_what_must_hold_is_asserted_in_debug_builds_and_counted_in_release_builds(options, code):
+    text = "from whinpier.net import log; log.must(False, 'x'); print(log.counts['broken'])"
+    ended = subprocess.run([sys.executable, *options, "-c", text], capture_output=True, text=True, timeout=20)
+    assert ended.returncode == code and ended.stdout == ("" if code else "1\n")
+
+
+def test_a_line_is_key_value_and_a_repeated_event_is_bounded(capsys):
+    log.set_up()
+    for _ in range(1000):
+        log.say("again", why='a "b"\n')
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) <= 2 * log.LINES  # a second may end in between
+    assert lines[0].endswith(' level=info event=again why="a \\"b\\"\\n"')
+    logging.getLogger("whinpier").handlers.clear()
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,404 @@
+"""Stories of the whole program: it is started and spoken to over sockets, by the example's toy servers."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import contextmanager
+from http.client import HTTPConnection, HTTPResponse
+from pathlib import Path
+
+import anyio
+import pytest
+
+from example.toy import Discovery, Upstream
+from whinpier.net import log
+from whinpier.net.balancer import Balancer
+from whinpier.net.config import read
+
+GIVEN = json.loads(Path("example/config.json").read_text())
+HEAD = "POST /charge HTTP/1.1\r\nHost: a\r\n"
+LIMIT = 10.0  # seconds that anything may take; what is waited for comes much sooner
+
+
+def until(holds):
+    """Wait for something that the program does in its own time."""
+    ends = time.monotonic() + LIMIT
+    while not (found := holds()):
+        assert time.monotonic() < ends, "it did not come"
+        time.sleep(0.005)
+    return found
+
+
+class Bank:
+    """One balancer, the upstreams it is given and the discovery that lists them."""
+
+    def __init__(self, folder, *upstreams, known=(), **settings):
+        self.upstreams = upstreams
+        self.discovery = Discovery(*(up.entry(f"s-{number}") for number, up in enumerate(upstreams)))
+        with socket.socket() as probe:  # a free port; no other connection starts from this address
+            probe.bind(("127.0.0.2", 0))
+            self.address = probe.getsockname()
+        given = json.loads(json.dumps(GIVEN)) | {
+            "listen": "%s:%d" % self.address, "discovery": self.discovery.dial,
+            "known": {"seq": 1 if known else 0, "whole": True, "hosts": list(known)},
+        }
+        given["limits"] |= settings.pop("sockets", {})
+        given["settings"]["limits"] |= settings
+        (folder / "config.json").write_text(json.dumps(given))
+        self.environment = os.environ | {"BALANCER_CONFIG": str(folder / "config.json")}
+        self.log = folder / "log"
+        with self.log.open("wb") as errors:
+            self.process = subprocess.Popen([sys.executable, "-m", "whinpier"], env=self.environment,
+                                            stderr=errors)
+        self.clients = []
+        until(self.up)
+
+    def up(self):
+        assert self.process.poll() is None, self.log.read_text()
+        try:
+            return self.ask("GET", "/up").status == 200
+        except ConnectionRefusedError:
+            return False
+
+    def client(self):
+        self.clients.append(HTTPConnection(*self.address, timeout=LIMIT))
+        return self.clients[-1]
+
+    def raw(self, data=b""):
+        sock = socket.create_connection(self.address, LIMIT)
+        self.clients.append(sock)
+        sock.sendall(data)
+        return sock
+
+    def ask(self, method, path, body=None, client=None, **headers):
+        client = client or self.client()
+        given = {"X-Txn": "1f", "X-Remaining": "1.5"} | {n.replace("_", "-"): v for n, v in headers.items()}
+        client.request(method, path, body, {name: value for name, value in given.items() if value})
+        answer = client.getresponse()
+        answer.body = answer.read()
+        return answer
+
+    def charge(self, **more):
+        """An exclusive task."""
+        return self.ask("POST", "/charge", b"{}", **more)
+
+    def settle(self, **more):
+        """A ticketed task."""
+        return self.ask("POST", "/settle", b"{}", Idempotency_Key="5c", **more)
+
+    def met(self):
+        return [request for upstream in self.upstreams for request in upstream.met]
+
+    def said(self, text):
+        return text in self.log.read_text()
+
+    def lists(self):
+        """How often it was told the list or a change of it."""
+        return self.log.read_text().count("event=list ")
+
+    def end(self):
+        for client in self.clients:
+            client.close()
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        for server in (*self.upstreams, self.discovery):
+            server.stop()
+        assert not self.said("event=broken") and not self.said("level=error"), self.log.read_text()
+
+
+@contextmanager
+def started(folder, *upstreams, **settings):
+    bank = Bank(folder, *upstreams, **settings)
+    try:
+        yield bank
+    finally:
+        bank.end()
+
+
+def good(request):
+    request.reply(200, b"done")
+
+
+def silent(request):
+    """Answers nothing, until whoever asked has gone."""
+    request.connection.settimeout(LIMIT)
+    request.gone = request.connection.recv(1) == b""
+    request.close_connection = True
+
+
+def raw(data):
+    """Answers with these bytes and ends the connection."""
+    def behave(request):
+        request.wfile.write(data)
+        request.close_connection = True
+    return behave
+
+
+def error(request):
+    request.reply(500, b"")
+
+
+def turned_away(request):
+    request.reply(503, b"", X_Turned_Away="1")
+
+
+def reset(request):
+    request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    request.close_connection = True
+    request.rfile.close()
+    request.connection.close()
+
+
+def test_a_task_goes_on_unchanged_and_its_answer_comes_back_unchanged(tmp_path):
+    body, sent = os.urandom(64 * 1024), os.urandom(64 * 1024)
+    with started(tmp_path, Upstream(lambda request: request.reply(200, body, X_Note="n"))) as bank:
+        answer = bank.ask("POST", "/charge/some?a=b", sent, X_Lane="charge", X_Txn="9b", X_Labels="w=1")
+        assert (answer.status, answer.body, answer.headers["X-Note"]) == (200, body, "n")
+        met, = bank.met()
+        assert (met.command, met.path, met.body) == ("POST", "/charge/some?a=b", sent)
+        assert (met.headers["X-Txn"], met.headers["X-Labels"]) == ("9b", "w=1")
+        assert 1.3 < float(met.headers["X-Remaining"]) < 1.5
+
+
+def test_connections_are_kept_on_both_sides_and_a_body_in_chunks_is_a_body(tmp_path):
+    with started(tmp_path, Upstream(good)) as bank:
+        client = bank.client()
+        assert [bank.charge(client=client).status for _ in range(5)] == [200] * 5
+        answer = bank.ask("POST", "/settle", iter([b"a", b"bc"]), client, Idempotency_Key="5c")
+        assert answer.status == 200 and bank.met()[-1].body == b"abc"
+        assert bank.met()[-1].headers["Idempotency-Key"] == "5c" and bank.upstreams[0].opened == 1
+
+
+def test_two_tasks_sent_at_once_on_one_connection_are_answered_in_turn(tmp_path):
+    task = b"GET /look/%d HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nX-Remaining: 1\r\n%s\r\n"
+    echo = Upstream(lambda request: request.reply(200, request.path.encode()))
+    with started(tmp_path, echo) as bank:
+        sock = bank.raw(task % (1, b"") + task % (2, b"Connection: close\r\n"))
+        said = sock.makefile("rb").read()
+        assert said.index(b"/look/1") < said.index(b"/look/2") and said.count(b"200 OK") == 2
+
+
+@pytest.mark.parametrize("kind", ["charge", "settle"])
+@pytest.mark.parametrize("bad", [
+    error, reset, turned_away, raw(b""), raw(b"HTTP/1.1 503 busy\r\nContent-Length: 0\r\n\r\n"),
+    raw(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), raw(b"\x16\x03rubbish\r\n\r\n"),
+    raw(b"HTTP/1.1 200 OK\r\n\r\nno length: cut or whole?"), raw(b"HTTP/1.1 102 x\r\n\r\n" * 50),
+    raw(b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000),
+])
+def test_what_may_have_run_is_sent_again_only_for_a_ticketed_task(tmp_path, bad, kind):
+    turns = iter([bad, good])
+    with started(tmp_path, *(Upstream(lambda request: next(turns)(request)) for _ in range(2))) as bank:
+        again = kind == "settle" or bad is turned_away
+        assert getattr(bank, kind)().status == (200 if again else 502)
+        assert len(bank.met()) == 1 + again
+
+
+def test_interim_answers_are_passed_over(tmp_path):
+    both = raw(b"HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    with started(tmp_path, Upstream(both)) as bank:
+        assert bank.charge().body == b"ok"
+
+
+def test_where_no_connection_comes_up_nothing_ran_and_the_task_goes_elsewhere(tmp_path):
+    gone, works = Upstream(good), Upstream(good)
+    gone.stop()  # its port refuses
+    with started(tmp_path, works) as bank:
+        bank.discovery.change(gone.entry("s-gone"))
+        until(lambda: bank.said("ready=2"))
+        assert [bank.charge().status for _ in range(10)] == [200] * 10
+
+
+def test_a_silent_upstream_is_waited_for_until_the_client_gives_up_and_not_longer(tmp_path):
+    with started(tmp_path, Upstream(silent)) as bank:
+        began = time.monotonic()
+        assert bank.charge(X_Remaining="0.4").status == 502
+        assert 0.35 < time.monotonic() - began < 0.45
+        assert len(bank.met()) == 1 and until(lambda: bank.met()[0].gone)
+
+
+@pytest.mark.parametrize("remaining, status", [("0", 504), ("-1.5", 504), ("0.004", 504)])
+def test_a_task_that_comes_too_late_is_answered_at_once_and_not_sent(tmp_path, remaining, status):
+    with started(tmp_path, Upstream(good)) as bank:
+        assert bank.charge(X_Remaining=remaining).status == status and not bank.met()
+
+
+def test_with_no_upstream_ready_a_task_is_turned_back_soon_with_a_time_to_come_back(tmp_path):
+    with started(tmp_path, Upstream(good)) as bank:
+        bank.discovery.change(bank.upstreams[0].entry("s-0", "draining"))
+        until(lambda: bank.said("draining=1"))
+        began, answer = time.monotonic(), bank.charge()
+        assert answer.status == 503 and float(answer.headers["Retry-After"]) > 0
+        assert time.monotonic() - began < 0.75 and not bank.met()
+
+
+def test_a_client_that_leaves_takes_its_task_with_it(tmp_path):
+    with started(tmp_path, Upstream(silent)) as bank:
+        bank.raw(f"{HEAD}X-Txn: 1\r\nX-Remaining: 3\r\nContent-Length: 0\r\n\r\n".encode())
+        until(bank.met)
+        bank.clients[-1].close()
+        until(lambda: getattr(bank.met()[0], "gone", False))
+
+
+def test_what_drains_finishes_what_it_has_and_gets_nothing_new(tmp_path):
+    held = []
+    slow, other = Upstream(held.append), Upstream(good)
+
+    def wait(request):
+        held.append(request)
+        until(lambda: request in slow.let_go)
+        good(request)
+
+    slow.behave, slow.let_go = wait, []
+    with started(tmp_path, slow) as bank:
+        client = bank.client()
+        client.request("POST", "/charge", b"{}", {"X-Txn": "1", "X-Remaining": "3"})
+        until(lambda: held)
+        bank.discovery.change(slow.entry("s-0", "draining"), other.entry("s-1"))
+        until(lambda: bank.said("draining=1"))
+        assert [bank.charge().status for _ in range(5)] == [200] * 5 and len(other.met) == 5
+        slow.let_go.append(held[0])
+        assert client.getresponse().status == 200 and len(held) == 1
+        bank.discovery.change(slow.entry("s-0", "removed"))
+        until(lambda: bank.lists() == 3)
+        assert bank.charge().status == 200 and len(other.met) == 6
+        other.stop()
+
+
+def test_a_new_run_of_an_upstream_gets_connections_of_its_own(tmp_path):
+    with started(tmp_path, Upstream(good)) as bank:
+        bank.charge()
+        bank.discovery.change(bank.upstreams[0].entry("s-0", born_ms=1_000))
+        until(lambda: bank.lists() == 2)
+        assert bank.charge().status == 200 and bank.upstreams[0].opened == 2
+
+
+def test_an_upstream_that_moves_is_met_at_its_new_address(tmp_path):
+    new = Upstream(good)
+    with started(tmp_path, Upstream(good)) as bank:
+        bank.charge()
+        bank.discovery.change(new.entry("s-0"))
+        until(lambda: bank.lists() == 2)
+        assert bank.charge().status == 200 and len(new.met) == 1
+    new.stop()
+
+
+def test_the_list_that_was_known_serves_while_discovery_is_down(tmp_path):
+    upstream, down = Upstream(good), Upstream(silent)
+    with started(tmp_path, upstream, known=[upstream.entry("s-0")]) as bank:
+        bank.discovery.stop()
+        bank.discovery.hang_up()
+        until(lambda: bank.said("discovery_lost"))
+        assert bank.charge().status == 200
+    down.stop()
+
+
+def test_a_lost_watch_is_taken_up_again_where_it_was(tmp_path):
+    other = Upstream(good)
+    with started(tmp_path, Upstream(good)) as bank:
+        bank.discovery.change(bank.upstreams[0].entry("s-0"))
+        until(lambda: bank.lists() == 2)
+        bank.discovery.hang_up()
+        until(lambda: bank.discovery.asked[-1] == "/discovery/hosts?watch=1&from=2")
+        bank.discovery.change(other.entry("s-1"))
+        until(lambda: bank.said("ready=2"))
+    other.stop()
+
+
+@pytest.mark.parametrize("line", [
+    b"{", b"[]", b'{"seq":9,"whole":true}', b'{"seq":9,"whole":true,"hosts":[{}]}',
+    b'{"seq":9,"whole":true,"hosts":[{"host":"s-0","dial":"127.0.0.1:1","health":"odd"}]}',
+    b'{"seq":9,"whole":true,"hosts":[{"host":"s-0","dial":"nowhere","health":"up"}]}',
+    b'{"seq":0,"whole":false,"hosts":[]}', b"\xff\xfe",
+])
+def test_what_discovery_garbles_leaves_the_last_good_list_and_the_whole_is_asked_for(tmp_path, line):
+    with started(tmp_path, Upstream(good)) as bank:
+        until(lambda: "/discovery/hosts?watch=1&from=0" in bank.discovery.asked)
+        asked = len(bank.discovery.asked)
+        bank.discovery.say(line)
+        until(lambda: "/discovery/hosts" in bank.discovery.asked[asked:])
+        assert bank.charge().status == 200
+
+
+@pytest.mark.parametrize("data, status", [
+    ("rubbish\r\n\r\n", 400),
+    ("POST /charge HTTP/1.1\r\n\r\n", 400),
+    (HEAD + "X-Remaining: 1\r\nContent-Length: 0\r\n\r\n", 400),
+    (HEAD + "X-Txn: 1\r\nContent-Length: 0\r\n\r\n", 400),
+    (HEAD + "X-Txn: 1\r\nX-Remaining: soon\r\nContent-Length: 0\r\n\r\n", 400),
+    (HEAD + "X-Txn: 1\r\nX-Remaining: inf\r\nContent-Length: 0\r\n\r\n", 400),
+    (HEAD + "X-Txn: 1\r\nX-Remaining: 1\r\nIdempotency-Key: 2\r\nContent-Length: 0\r\n\r\n", 400),
+    (HEAD + "X-Txn: 1\r\nX-Remaining: 1\r\nX-Lane: settle\r\nContent-Length: 0\r\n\r\n", 404),
+    (HEAD.replace("charge", "settle") + "X-Txn: 1\r\nX-Remaining: 1\r\nContent-Length: 0\r\n\r\n", 400),
+    (HEAD.replace("charge", "none") + "X-Txn: 1\r\nX-Remaining: 1\r\nContent-Length: 0\r\n\r\n", 404),
+    (HEAD.replace("POST", "GET") + "X-Txn: 1\r\nX-Remaining: 1\r\n\r\n", 405),
+    (HEAD + "X-Txn: 1\r\nX-Remaining: 1\r\nContent-Length: 70000\r\n\r\n" + "x" * 70000, 413),
+    (HEAD + "X-Txn: 1\r\nX-Long: " + "x" * 70000 + "\r\n\r\n", 431),
+    (HEAD + "X-Txn: 1\r\nX-Remaining: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+    ("CONNECT charge HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nX-Remaining: 1\r\n\r\n", 405),
+])
+def test_what_is_no_task_is_answered_and_never_sent(tmp_path, data, status):
+    with started(tmp_path, Upstream(good)) as bank:
+        answer = HTTPResponse(bank.raw(data.encode()))
+        answer.begin()
+        assert answer.status == status and bank.charge().status == 200 and len(bank.met()) == 1
+
+
+def test_a_client_that_sends_half_a_request_and_stops_is_let_go(tmp_path):
+    with started(tmp_path, Upstream(good)) as bank:
+        for sock in [bank.raw(b"POST /charge HT"), bank.raw(f"{HEAD}Content-Length: 9\r\n\r\nx".encode())]:
+            assert sock.makefile("rb").read().startswith(b"HTTP/1.1 408")
+        assert not bank.met()
+
+
+def test_more_clients_than_descriptors_wait_their_turn(tmp_path):
+    with started(tmp_path, Upstream(good), sockets={"sockets": 64}) as bank:
+        assert [bank.charge().status for _ in range(100)] == [200] * 100  # each on a connection that stays
+        bank.raw()
+        assert bank.charge().status == 200
+
+
+def test_told_to_stop_it_answers_what_it_has_and_what_still_comes_and_leaves_with_nought(tmp_path):
+    with started(tmp_path, Upstream(lambda request: (time.sleep(0.9), good(request)))) as bank:
+        first, idle = bank.client(), bank.client()
+        assert bank.ask("GET", "/up", client=idle).status == 200
+        first.request("POST", "/charge", b"{}", {"X-Txn": "1", "X-Remaining": "3"})
+        until(bank.met)
+        bank.process.send_signal(signal.SIGTERM)
+        until(lambda: bank.said("event=stopping"))
+        late = bank.charge(X_Remaining="3")
+        assert (late.status, late.headers["Connection"]) == (200, "close")
+        used = first.getresponse()
+        assert (used.status, used.headers["Connection"]) == (200, "close")
+        assert bank.process.wait(LIMIT) == 0
+
+
+def test_a_decision_that_fails_costs_its_task_and_no_more(tmp_path, monkeypatch):
+    upstream = Upstream(good)
+    with started(tmp_path, upstream) as bank:  # only for its configuration
+        config = read(bank.environment)
+    monkeypatch.setattr(log, "must", lambda holds, what: None)  # as in release builds
+
+    async def story(listener):
+        balancer = Balancer(config)
+        balancer.choice.arrive = lambda task: 1 / 0
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(balancer.serve, listener)
+            async with await anyio.connect_tcp(*config.listen) as client:
+                for _ in range(2):
+                    task = f"{HEAD}X-Txn: 1\r\nX-Remaining: 0.2\r\nContent-Length: 0\r\n\r\n"
+                    await client.send(task.encode())
+                    with anyio.fail_after(LIMIT):
+                        assert (await client.receive()).startswith(b"HTTP/1.1 502")
+            tasks.cancel_scope.cancel()
+
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(config.listen)
+        listener.listen()
+        listener.setblocking(False)
+        anyio.run(story, listener)
--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -221,7 +221,7 @@
         log.counts["came_back_" + outcome.replace(" ", "_")] += 1
         first = outcome == FULFILLED and not sending.task.ended
         if first and answer:
-            headers = [pair for pair in answer.headers if pair[0] not in HOP and pair[0] != b"content-length"]
+            headers = [pair for pair in answer.headers if pair[0] not in HOP]
             self.finish(sending.task, "fulfilled", 200, b"".join(answer.parts), headers)
         self.choice.came_back(sending, answer.load() if answer else None, first)
 
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -42,12 +42,13 @@
 class Asked(Task):
     """A task with the client that waits for it and what goes on to an upstream."""
 
-    def __init__(self, client: Client, workload: Workload, came: int, ends: int, headers: dict[bytes, bytes],
-                 body: bytes) -> None:
+    def __init__(self, client: Client, workload: Workload, came: int, ends: int, body: bytes) -> None:
         super().__init__(client.balancer.next_id(), workload, came, ends)
         self.client, self.body = client, body
         self.method, self.target = client.method, client.target
-        self.headers = [(name, value) for name, value in headers.items() if name not in HOP]
+        self.headers = [pair for pair in client.headers if pair[0] not in HOP]
+        if self.method != b"GET":
+            self.headers.append((b"content-length", b"%d" % len(body)))
 
 
 def hashed(text: bytes) -> int:
@@ -61,7 +62,7 @@
     def __init__(self, balancer: Balancer, sock: socket.socket) -> None:
         self.balancer, self.sock = balancer, sock
         self.parser = h11.Connection(h11.SERVER)
-        self.method, self.target, self.headers = b"", b"", dict[bytes, bytes]()
+        self.method, self.target, self.headers = b"", b"", list[tuple[bytes, bytes]]()
         self.parts: list[bytes] = []
         self.size, self.since = 0, balancer.clock()  # since when it is idle, is read, is answered for good
         self.task: Asked | None = None
@@ -124,7 +125,7 @@
             self.refuse(BadRequest(fault.error_status_hint, str(fault)))
 
     def begin(self, request: h11.Request) -> None:
-        self.method, self.target, self.headers = request.method, request.target, dict(request.headers)
+        self.method, self.target, self.headers = request.method, request.target, list(request.headers)
         self.parts, self.size, self.begun = [], 0, True
 
     def request(self) -> None:
@@ -143,7 +144,7 @@
 
     def read_task(self) -> Asked:
         """The task that a request stands for, with all that its headers say of it."""
-        headers, balancer = self.headers, self.balancer
+        headers, balancer = dict(self.headers), self.balancer
         path, _, query = self.target.partition(b"?")
         lane = path.lstrip(b"/").partition(b"/")[0]
         workload = balancer.lanes.get(lane)
@@ -165,7 +166,7 @@
             raise BadRequest(400, "X-Remaining is not finite")
         came = balancer.clock()
         ends = came + min(int(remaining * SECOND), workload.patience) - MARGIN
-        task = Asked(self, workload, came, ends, headers, body)
+        task = Asked(self, workload, came, ends, body)
         key = parse_qs(query).get(b"obj", [b""])[0] if query else b""
         key = key or headers.get(b"x-entity", b"")
         task.key = hashed(key) if key else 0
--- a/whinpier/net/upstreams.py
+++ b/whinpier/net/upstreams.py
@@ -30,7 +30,7 @@
 # what is written to one just closed may have run.
 KEEP = 0.5
 HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-                 b"upgrade", b"expect", b"x-remaining"))  # not passed on
+                 b"upgrade", b"expect", b"x-remaining", b"content-length"))  # not passed on
 
 
 class Answer:
