--- a/whinpier/net/upstreams.py
+++ b/whinpier/net/upstreams.py
@@ -95,14 +95,22 @@
             link.close()
         self.waiting.append(sending)
         # What waits takes whichever comes first, a new connection or one that falls free.
-        if len(self.waiting) > self.opening:
-            if self.balancer.make_room():
-                self.opening += 1
-                self.balancer.links.add(link := Link(self))
-                self.balancer.spawn(link.run, link.close)
-            else:
-                self.waiting.remove(sending)
-                self.balancer.settle(sending, MOOT)
+        if len(self.waiting) > self.opening and not self.open():
+            self.waiting.remove(sending)
+            self.balancer.settle(sending, MOOT)
+
+    def open(self) -> bool:
+        """Begin a new connection, if there is a descriptor for it."""
+        try:
+            link = Link(self) if self.balancer.make_room() else None
+        except OSError as fault:  # the system's own limit, met before ours
+            log.warn("no_socket", fault=fault)
+            link = None
+        if link:
+            self.opening += 1
+            self.balancer.links.add(link)
+            self.balancer.spawn(link.run, link.close)
+        return link is not None
 
     def free(self, link: Link) -> None:
         """A connection can take a hand-off."""
@@ -193,10 +201,17 @@
         self.sending, sending.link, self.answer = sending, self, Answer()
         asked = sending.asked
         remaining = max(0, asked.ends - self.balancer.clock()) / SECOND
-        head = h11.Request(method=asked.method, target=asked.target,
-                           headers=[*asked.headers, (b"x-remaining", b"%.3f" % remaining)])
-        pieces = [self.parser.send(head), self.parser.send(h11.Data(data=asked.body)),
-                  self.parser.send(h11.EndOfMessage())]
+        try:
+            head = h11.Request(method=asked.method, target=asked.target,
+                               headers=[*asked.headers, (b"x-remaining", b"%.3f" % remaining)])
+            pieces = [self.parser.send(head), self.parser.send(h11.Data(data=asked.body)),
+                      self.parser.send(h11.EndOfMessage())]
+        except h11.LocalProtocolError:
+            # Guards against a fault of ours inside a decision: it would leave that half done.
+            log.fault("task_not_written")
+            self.give_up()
+            self.balancer.settle(sending, MOOT)
+            return
         self.left = memoryview(b"".join(piece for piece in pieces if piece))
         self.flush()
         if self.left and not self.closed:
@@ -267,13 +282,17 @@
         sending, answer, self.sending = self.sending, self.answer, None
         assert sending is not None
         sending.link = None
-        sent = not self.left
-        if sent and self.parser.their_state is h11.DONE and self.parser.our_state is h11.DONE:
+        outcome = answer.outcome()
+        if self.left and outcome != FULL:
+            outcome = NO_CONNECTION  # an answer to what was not written whole
+        # Guards against one task's surplus bytes passing for the next one's answer.
+        clean = not self.left and not self.parser.trailing_data[0]
+        if clean and self.parser.their_state is h11.DONE and self.parser.our_state is h11.DONE:
             self.parser.start_next_cycle()
             self.server.free(self)
         else:
             self.close()
-        self.balancer.settle(sending, answer.outcome(), answer)
+        self.balancer.settle(sending, outcome, answer)
 
     def close(self) -> None:
         """End the connection. A hand-off on it has its outcome by whether it was written whole."""
