At the limit of descriptors clients are turned back at the door, not closed with a task unread

Cause, read from the code and shown by a small story: Balancer.make_room, called for each accept, closed the longest idle client; under load that is one accepted a moment ago whose task lies unread in the socket.

Now a client is closed only when it has had its last answer, or has been idle for 0.1 s with nothing unread; near the limit answers carry Connection: close, so that room comes without crossing anybody; and a few descriptors serve clients beyond their part, who are told 503 with a time to come back.

--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -33,6 +33,9 @@
 SWEEP = SECOND  # between looks at what waits too long: the limits are seconds
 FIGURES = 10 * SECOND  # between lines of figures
 SPARE = 32  # descriptors kept back: the standard ones, listener, discovery, the loop's own
+DOOR = 8  # more, for clients that are turned back at the door: one stays there for some milliseconds
+PART = 0.6  # of the rest for clients: each task needs one descriptor, and one more while it is out
+UNUSED = SECOND // 10  # a connection idle for less may be about to be used again
 BACKLOG = 1024
 
 
@@ -57,6 +60,8 @@
         self.tenants = {name.encode(): index for index, name in enumerate(config.tenants)}
         self.stopping, self.told_once, self.began = False, False, self.now
         self.space = anyio.Event()
+        self.connections = config.sockets - SPARE - DOOR
+        self.most_clients = int(PART * self.connections)
         self.lag = 0
         self.choice = Choice(self, config.settings, config.workloads, config.seed)
         self.discovery = Discovery(config, self.told, self.choice.split.random)
@@ -275,18 +280,48 @@
 
     # Descriptors.
 
-    def room(self) -> int:
-        return self.config.sockets - SPARE - len(self.links) - len(self.clients)
+    def crowded(self) -> bool:
+        """Whether clients had better not keep their connections: then room comes with every answer."""
+        return len(self.clients) > 0.9 * self.most_clients
 
     def make_room(self) -> bool:
         """Whether one more connection may be opened: the longest idle ones make way, upstreams' first."""
-        if self.room() <= 0:
+        if self.full():
             idle = [link for server in self.held.values() for link in server.idle]
             if idle:
                 min(idle, key=lambda link: link.since).close()
-            elif unused := [client for client in self.clients if client.idle()]:
-                min(unused, key=lambda client: client.since).close()
-        return self.room() > 0
+            else:
+                self.let_go()
+        return not self.full()
+
+    def full(self) -> bool:
+        return len(self.links) + min(len(self.clients), self.most_clients) >= self.connections
+
+    def let_go(self) -> None:
+        """Close a client that is not in use: one that has had its last answer, or else the longest idle.
+
+        Guards against ending one whose task is here already and only not read yet: that task would be lost.
+        """
+        longest = sorted(self.clients, key=lambda client: (not client.last, client.since))
+        unused = (client for client in longest if client.unused(self.clock() - UNUSED))
+        if client := next(unused, None):
+            client.close()
+
+    def welcome(self, listener: socket.socket) -> bool:
+        """Take one client in. One too many is only turned back: what waits unseen is lost in time."""
+        if len(self.clients) >= self.most_clients:
+            self.let_go()
+        turned_back = len(self.clients) >= self.most_clients or not self.make_room()
+        most = min(self.most_clients, self.connections - len(self.links)) + DOOR
+        if turned_back and len(self.clients) >= most:
+            return False
+        sock, _ = listener.accept()
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client = Client(self, sock, turned_back)
+        self.clients.add(client)
+        self.spawn(client.run, client.close)
+        return True
 
     def roomier(self) -> None:
         self.space.set()
@@ -297,27 +332,18 @@
         """Take clients in while there are descriptors; at the limit accepting waits."""
         while True:
             await anyio.wait_readable(listener)
-            while self.make_room():
-                try:
-                    self.welcome(listener.accept()[0])
-                except BlockingIOError:
-                    break
-                except OSError as fault:
-                    log.warn("accept_failed", fault=fault)
-                    await anyio.sleep(0.01)
-                    break
-            else:
+            try:
+                while self.welcome(listener):
+                    pass
                 log.warn("descriptors_used_up", clients=len(self.clients), links=len(self.links))
                 self.space = anyio.Event()
                 with anyio.move_on_after(0.1):
                     await self.space.wait()
-
-    def welcome(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client = Client(self, sock)
-        self.clients.add(client)
-        self.spawn(client.run, client.close)
+            except BlockingIOError:
+                pass
+            except OSError as fault:
+                log.warn("accept_failed", fault=fault)
+                await anyio.sleep(0.01)
 
     def sweep(self) -> None:
         """Every wait has an end."""
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -59,8 +59,9 @@
 class Client:
     """One connection of a client."""
 
-    def __init__(self, balancer: Balancer, sock: socket.socket) -> None:
+    def __init__(self, balancer: Balancer, sock: socket.socket, turned_back: bool) -> None:
         self.balancer, self.sock = balancer, sock
+        self.turned_back = turned_back  # there is no room for its tasks: they do not reach the decisions
         self.parser = h11.Connection(h11.SERVER)
         self.method, self.target, self.headers = b"", b"", list[tuple[bytes, bytes]]()
         self.parts: list[bytes] = []
@@ -139,6 +140,11 @@
             log.counts["came_too_late"] += 1
             self.answer(504, b"too late\n")
             return
+        if self.turned_back:
+            log.counts["turned_back_at_the_door"] += 1
+            wait = b"%.3f" % (task.workload.agreed_time / 4 / SECOND)
+            self.answer(503, b"turned back\n", [(b"retry-after", wait)], last=True)
+            return
         self.task = task
         self.balancer.take(task)
 
@@ -187,7 +193,7 @@
                last: bool = False) -> None:
         """Write the one answer to what was asked."""
         self.task, self.parts = None, []
-        self.last = last or self.balancer.stopping
+        self.last = last or self.balancer.stopping or self.balancer.crowded()
         given = [*(headers or []), (b"content-length", b"%d" % len(body))]
         if self.last:
             given.append((b"connection", b"close"))
@@ -257,6 +263,19 @@
     def idle(self) -> bool:
         return self.task is None and not self.reading and not self.last and not self.left
 
+    def unused(self, since: int) -> bool:
+        """Whether closing loses nothing: it had its last answer, or is idle and nothing has come unread."""
+        if self.last:
+            return not self.left
+        if not self.idle() or self.since > since:
+            return False
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return True
+
     def close(self) -> None:
         if self.closed:
             return
