Heads are written by hand, h11 only parses; a task's margin follows the loop's lag

So the margin before a client's end is 5 ms plus twice the loop's lag of late, 105 ms at the most (Balancer.margin; it was clients.MARGIN).

--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -37,6 +37,9 @@
 PART = 0.6  # of the rest for clients: each task needs one descriptor, and one more while it is out
 UNUSED = SECOND // 10  # a connection idle for less may be about to be used again
 BACKLOG = 1024
+MARGIN = SECOND // 200  # a way to the client, five times over, where the loop is in time
+MOST_LATE = SECOND // 20  # what comes on top of a client's end by the rules; no margin helps beyond
+FORGET = 5 * SECOND  # a burst of work comes back within seconds, or is over
 MS = SECOND // 1000
 
 
@@ -63,7 +66,8 @@
         self.space = anyio.Event()
         self.connections = config.sockets - SPARE - DOOR
         self.most_clients = int(PART * self.connections)
-        self.lag, self.stopped, self.collect_from = 0, 0, 0
+        self.lag, self.late, self.late_at = 0, 0, self.now  # since the last figures; of late
+        self.stopped, self.collect_from = 0, 0
         self.choice = Choice(self, config.settings, config.workloads, config.seed)
         self.discovery = Discovery(config, self.told, self.choice.split.random)
         self.following = config.settings.get("discovery") != "subscribe"
@@ -103,13 +107,25 @@
             now = self.clock()
             while self.alarms and self.alarms[0][0] <= now:
                 due, _, call, args = heapq.heappop(self.alarms)
-                self.lag = max(self.lag, now - due)
+                self.behind(now - due)
                 self.enter(call, *args)
             self.sooner = anyio.Event()
             self.ring_at = self.alarms[0][0] if self.alarms else now + SECOND
             with anyio.move_on_after((self.ring_at - self.clock()) / SECOND):
                 await self.sooner.wait()
 
+    def behind(self, lag: int) -> None:
+        """Note how late the loop is: the most of it, forgotten over some seconds."""
+        self.lag = max(self.lag, lag)
+        now = self.clock()
+        self.late = max(lag, self.late * max(0, FORGET - (now - self.late_at)) // FORGET)
+        self.late_at = now
+
+    def margin(self) -> int:
+        """How long before its client gives up a task is over here."""
+        # Guards against a loop that is late under load: it has read the task late, and rings its end late.
+        return MARGIN + 2 * min(self.late, MOST_LATE)
+
     def spawn(self, run: Callable[[], Awaitable[None]], end: Callable[[], None]) -> None:
         """Run a network task; its fault ends what it served, never the process."""
         self.tasks.start_soon(self.guarded, run, end)
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -24,7 +24,6 @@
 if TYPE_CHECKING:
     from whinpier.net.balancer import Balancer
 
-MARGIN = SECOND // 200  # the answer leaves that long before its client gives up: a way there and a late loop
 HALF = 5 * SECOND  # for one request or answer to pass whole: longer than any link needs for 64 KiB
 IDLE = 120 * SECOND  # between requests; clients keep connections and take no harm from losing one
 LINGER = SECOND  # for a client to take its last answer and close
@@ -45,10 +44,11 @@
     def __init__(self, client: Client, workload: Workload, came: int, ends: int, body: bytes) -> None:
         super().__init__(client.balancer.next_id(), workload, came, ends)
         self.client, self.body = client, body
-        self.method, self.target = client.method, client.target
-        self.headers = [pair for pair in client.headers if pair[0] not in HOP]
-        if self.method != b"GET":
-            self.headers.append((b"content-length", b"%d" % len(body)))
+        head = [b"%s %s HTTP/1.1\r\n" % (client.method, client.target)]
+        head += [b"%s: %s\r\n" % pair for pair in client.headers if pair[0] not in HOP]
+        if client.method != b"GET":
+            head.append(b"content-length: %d\r\n" % len(body))
+        self.head = b"".join(head)  # but for what is left of its patience
 
 
 def hashed(text: bytes) -> int:
@@ -171,7 +171,7 @@
         if not math.isfinite(remaining):
             raise BadRequest(400, "X-Remaining is not finite")
         came = balancer.clock()
-        ends = came + min(int(remaining * SECOND), workload.patience) - MARGIN
+        ends = came + min(int(remaining * SECOND), workload.patience) - balancer.margin()
         task = Asked(self, workload, came, ends, body)
         key = parse_qs(query).get(b"obj", [b""])[0] if query else b""
         key = key or headers.get(b"x-entity", b"")
@@ -184,36 +184,27 @@
         """Answer what is no task, and end the connection."""
         log.warn("bad_request", status=bad.status, why=bad)
         self.reading = False
-        if self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self.answer(bad.status, f"{bad}\n".encode("utf-8", "replace"), last=True)
-        else:
-            self.close()
+        self.answer(bad.status, f"{bad}\n".encode("utf-8", "replace"), last=True)
 
     def answer(self, status: int, body: bytes, headers: list[tuple[bytes, bytes]] | None = None,
                last: bool = False) -> None:
         """Write the one answer to what was asked."""
         self.task, self.parts = None, []
         self.last = last or self.balancer.stopping or self.balancer.crowded()
-        given = [*(headers or []), (b"content-length", b"%d" % len(body))]
-        if self.last:
-            given.append((b"connection", b"close"))
-        try:
-            head = h11.Response(status_code=status, headers=given, reason=REASONS.get(status, b""))
-            pieces = [self.parser.send(head), self.parser.send(h11.Data(data=body)),
-                      self.parser.send(h11.EndOfMessage())]
-        except h11.LocalProtocolError:
-            log.fault("answer_not_written", status=status)
-            self.close()
-            return
+        # Where the client ends its connection, or has not sent its request whole, nothing can follow.
+        self.last = self.last or self.parser.their_state is not h11.DONE
+        head = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b""))]
+        head += [b"%s: %s\r\n" % pair for pair in headers or []]
+        head.append(b"content-length: %d\r\n%s\r\n" % (len(body), b"connection: close\r\n" * self.last))
         self.since = self.balancer.clock()
-        self.last = self.last or self.parser.our_state is not h11.DONE
-        self.put(b"".join(piece for piece in pieces if piece))
-        if self.closed:
+        self.put(b"".join((*head, body)))
+        if self.closed or self.last:
             return
-        if not self.last:
-            self.parser.start_next_cycle()
-            if self.parser.trailing_data[0]:
-                self.balancer.enter(self.parse)  # what came ahead of its turn, but from outside any decision
+        # A parser for each request: h11 only parses, as writing by it costs three times as much.
+        ahead, self.parser = self.parser.trailing_data[0], h11.Connection(h11.SERVER)
+        if ahead:
+            self.parser.receive_data(ahead)
+            self.balancer.enter(self.parse)  # it came ahead of its turn; from outside any decision
 
     def put(self, data: bytes) -> None:
         if self.left:
--- a/whinpier/net/upstreams.py
+++ b/whinpier/net/upstreams.py
@@ -25,6 +25,9 @@
     from whinpier.net.clients import Asked
 
 BODY = 64 * 1024  # the largest body, by the protocol
+# All that the parser needs to know of a task: that an answer is due. The task is written as it came, since
+# building it by h11 costs three times as much.
+DUE = h11.Request(method="GET", target="/", headers=[("host", "upstream")])
 INTERIM = 8  # interim answers to one task: more are rubbish
 # A kept connection is let go at half its idle limit: the other side may close it any time from then on, and
 # what is written to one just closed may have run.
@@ -202,17 +205,15 @@
         asked = sending.asked
         remaining = max(0, asked.ends - self.balancer.clock()) / SECOND
         try:
-            head = h11.Request(method=asked.method, target=asked.target,
-                               headers=[*asked.headers, (b"x-remaining", b"%.3f" % remaining)])
-            pieces = [self.parser.send(head), self.parser.send(h11.Data(data=asked.body)),
-                      self.parser.send(h11.EndOfMessage())]
+            self.parser.send(DUE)
+            self.parser.send(h11.EndOfMessage())
         except h11.LocalProtocolError:
             # Guards against a fault of ours inside a decision: it would leave that half done.
             log.fault("task_not_written")
             self.give_up()
             self.balancer.settle(sending, MOOT)
             return
-        self.left = memoryview(b"".join(piece for piece in pieces if piece))
+        self.left = memoryview(b"%sx-remaining: %.3f\r\n\r\n%s" % (asked.head, remaining, asked.body))
         self.flush()
         if self.left and not self.closed:
             self.balancer.spawn(self.drain, self.close)
