--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -361,8 +361,8 @@
                     await self.space.wait()
             except BlockingIOError:
                 pass
-            except OSError as fault:
-                log.warn("accept_failed", fault=fault)
+            except Exception:  # whatever it was: nobody else takes clients in
+                log.fault("accept_failed")
                 await anyio.sleep(0.01)
 
     def sweep(self) -> None:
