While the loop is 50 ms late new tasks are turned back at the door; margins up to 0.2 s

Balancer.overrun is the lag of the last ring alone, so a single late turn of the loop costs the tasks of that turn and no more.

--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -38,7 +38,7 @@
 UNUSED = SECOND // 10  # a connection idle for less may be about to be used again
 BACKLOG = 1024
 MARGIN = SECOND // 200  # a way to the client, five times over, where the loop is in time
-MOST_LATE = SECOND // 20  # what comes on top of a client's end by the rules; no margin helps beyond
+MOST_LATE = SECOND // 20  # as late as the rules let an answer be
 FORGET = 5 * SECOND  # a burst of work comes back within seconds, or is over
 MS = SECOND // 1000
 
@@ -67,6 +67,7 @@
         self.connections = config.sockets - SPARE - DOOR
         self.most_clients = int(PART * self.connections)
         self.lag, self.late, self.late_at = 0, 0, self.now  # since the last figures; of late
+        self.overrun = False  # later than a margin can make good: what comes now is turned back at the door
         self.stopped, self.collect_from = 0, 0
         self.choice = Choice(self, config.settings, config.workloads, config.seed)
         self.discovery = Discovery(config, self.told, self.choice.split.random)
@@ -105,9 +106,9 @@
         """Call what falls due."""
         while True:
             now = self.clock()
+            self.behind(max(0, now - self.alarms[0][0]) if self.alarms else 0)
             while self.alarms and self.alarms[0][0] <= now:
-                due, _, call, args = heapq.heappop(self.alarms)
-                self.behind(now - due)
+                _, _, call, args = heapq.heappop(self.alarms)
                 self.enter(call, *args)
             self.sooner = anyio.Event()
             self.ring_at = self.alarms[0][0] if self.alarms else now + SECOND
@@ -119,12 +120,12 @@
         self.lag = max(self.lag, lag)
         now = self.clock()
         self.late = max(lag, self.late * max(0, FORGET - (now - self.late_at)) // FORGET)
-        self.late_at = now
+        self.late_at, self.overrun = now, lag > MOST_LATE
 
     def margin(self) -> int:
         """How long before its client gives up a task is over here."""
         # Guards against a loop that is late under load: it has read the task late, and rings its end late.
-        return MARGIN + 2 * min(self.late, MOST_LATE)
+        return MARGIN + 2 * min(self.late, 2 * MOST_LATE)
 
     def spawn(self, run: Callable[[], Awaitable[None]], end: Callable[[], None]) -> None:
         """Run a network task; its fault ends what it served, never the process."""
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -140,10 +140,10 @@
             log.counts["came_too_late"] += 1
             self.answer(504, b"too late\n")
             return
-        if self.turned_back:
+        if self.turned_back or self.balancer.overrun:
             log.counts["turned_back_at_the_door"] += 1
             wait = b"%.3f" % (task.workload.agreed_time / 4 / SECOND)
-            self.answer(503, b"turned back\n", [(b"retry-after", wait)], last=True)
+            self.answer(503, b"turned back\n", [(b"retry-after", wait)], last=self.turned_back)
             return
         self.task = task
         self.balancer.take(task)
