A larger door, and the start's own lateness is not the loop's

Seen: with 8 descriptors at the door at most 8 surplus clients were heard in each turn of the loop, and what waited in the listener's queue was lost (first hand-off 0.88 s after the request, in the median). One in eight descriptors now, 64 at most.

Seen by two stories that failed now and then: alarms set before the loop began counted as its lateness, so that a balancer's first seconds had margins of up to 0.2 s. Balancer.ring counts from its own begin.

--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -32,8 +32,8 @@
 START = SECOND  # to be told the list before the one that was known must do
 SWEEP = SECOND  # between looks at what waits too long: the limits are seconds
 FIGURES = 10 * SECOND  # between lines of figures
-SPARE = 32  # descriptors kept back: the standard ones, listener, discovery, the loop's own
-DOOR = 8  # more, for clients that are turned back at the door: one stays there for some milliseconds
+SPARE = 24  # descriptors kept back: the standard ones, listener, discovery, the loop's own; a dozen in all
+DOOR, MOST_DOOR = 8, 64  # one in so many, and the most, for clients turned back at the door: short bursts
 PART = 0.6  # of the rest for clients: each task needs one descriptor, and one more while it is out
 UNUSED = SECOND // 10  # a connection idle for less may be about to be used again
 BACKLOG = 1024
@@ -64,7 +64,8 @@
         self.tenants = {name.encode(): index for index, name in enumerate(config.tenants)}
         self.stopping, self.told_once, self.began = False, False, self.now
         self.space = anyio.Event()
-        self.connections = config.sockets - SPARE - DOOR
+        self.door = min(config.sockets // DOOR, MOST_DOOR)
+        self.connections = config.sockets - SPARE - self.door
         self.most_clients = int(PART * self.connections)
         self.lag, self.late, self.late_at = 0, 0, self.now  # since the last figures; of late
         self.overrun = False  # later than a margin can make good: what comes now is turned back at the door
@@ -104,9 +105,10 @@
 
     async def ring(self) -> None:
         """Call what falls due."""
+        begun = self.clock()  # what was due before is late by the start, not by the loop
         while True:
             now = self.clock()
-            self.behind(max(0, now - self.alarms[0][0]) if self.alarms else 0)
+            self.behind(max(0, now - max(begun, self.alarms[0][0])) if self.alarms else 0)
             while self.alarms and self.alarms[0][0] <= now:
                 _, _, call, args = heapq.heappop(self.alarms)
                 self.enter(call, *args)
@@ -333,7 +335,7 @@
         if len(self.clients) >= self.most_clients:
             self.let_go()
         turned_back = len(self.clients) >= self.most_clients or not self.make_room()
-        most = min(self.most_clients, self.connections - len(self.links)) + DOOR
+        most = min(self.most_clients, self.connections - len(self.links)) + self.door
         if turned_back and len(self.clients) >= most:
             return False
         sock, _ = listener.accept()
