--- a/whinpier/net/buffers.py
+++ b/whinpier/net/buffers.py
@@ -1,6 +1,6 @@
-"""Owns the buffers that bytes are received into: all of one size, taken for one read and given back after it.
+"""Owns how bytes pass a socket: buffers of one size, for one read each; what is left to write.
 
-Must never hand out a buffer twice, or keep more of them than a few reads need.
+Must never hand out a buffer twice, keep more of them than a few reads need, or stop the loop to write.
 """
 
 from __future__ import annotations
@@ -8,6 +8,7 @@
 import socket
 from typing import cast
 
+import anyio
 import h11
 
 SIZE = 64 * 1024  # the largest body in one read; a body and its head seldom come in more than two
@@ -44,3 +45,30 @@
         return sock.recv_into(buffer)
     finally:
         give(buffer)
+
+
+class Writer:
+    """A connection's way out: what its socket does not take at once goes out as it can."""
+
+    sock: socket.socket
+    left: memoryview
+    closed: bool
+
+    def close(self) -> None:
+        raise NotImplementedError
+
+    def flush(self) -> None:
+        try:
+            self.left = self.left[self.sock.send(self.left):]
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.close()
+
+    async def drain(self) -> None:
+        while self.left and not self.closed:
+            try:
+                await anyio.wait_writable(self.sock)
+            except (OSError, anyio.ClosedResourceError):
+                return
+            self.flush()
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -56,7 +56,7 @@
     return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
 
 
-class Client:
+class Client(buffers.Writer):
     """One connection of a client."""
 
     def __init__(self, balancer: Balancer, sock: socket.socket, turned_back: bool) -> None:
@@ -216,22 +216,12 @@
             self.balancer.spawn(self.drain, self.close)
 
     def flush(self) -> None:
-        try:
-            self.left = self.left[self.sock.send(self.left):]
-            if not self.left and self.last:
-                self.sock.shutdown(socket.SHUT_WR)  # closing at once could cut off what is still on its way
-        except BlockingIOError:
-            pass
-        except OSError:
-            self.close()
-
-    async def drain(self) -> None:
-        while self.left and not self.closed:
+        super().flush()
+        if self.last and not self.left and not self.closed:
             try:
-                await anyio.wait_writable(self.sock)
-            except (OSError, anyio.ClosedResourceError):
-                return
-            self.flush()
+                self.sock.shutdown(socket.SHUT_WR)  # closing at once could cut off what is still on its way
+            except OSError:
+                self.close()
 
     def sweep(self, now: int) -> None:
         """Every wait for a client has an end."""
--- a/whinpier/net/upstreams.py
+++ b/whinpier/net/upstreams.py
@@ -146,12 +146,9 @@
             self.balancer.settle(self.waiting.popleft(), MOOT)
 
 
-class Link:
+class Link(buffers.Writer):
     """One connection to an upstream."""
 
-    __slots__ = ("server", "balancer", "address", "sock", "parser", "sending", "answer", "left", "since",
-                 "up", "closed")
-
     def __init__(self, server: Server) -> None:
         self.server, self.balancer, self.address = server, server.balancer, server.address
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -218,22 +215,6 @@
         if self.left and not self.closed:
             self.balancer.spawn(self.drain, self.close)
 
-    def flush(self) -> None:
-        try:
-            self.left = self.left[self.sock.send(self.left):]
-        except BlockingIOError:
-            pass
-        except OSError:
-            self.close()
-
-    async def drain(self) -> None:
-        while self.left and not self.closed:
-            try:
-                await anyio.wait_writable(self.sock)
-            except (OSError, anyio.ClosedResourceError):
-                return
-            self.flush()
-
     def read(self) -> None:
         try:
             buffers.feed(self.parser, self.sock)
