One piece of code for what both sides' connections do; leftovers of the change taken out

Read again as a whole; nothing happens otherwise than before. Taking in and writing stood in Client and in Link and stand in buffers.Connection now; the header that says when to come back was built in two places; half the idle limit was worked out in two ways (Server.oldest); Balancer.following only repeated what discovery keeps; a hand-off with an outcome is always a settled one; not_opened took a connection it never looked at.

--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -23,7 +23,7 @@
 from whinpier.decay import SECOND
 from whinpier.model import (DRAINING, FULFILLED, GONE, READY, TIMED_OUT, WITHDRAWN, HandOff, Task, Upstream)
 from whinpier.net import log
-from whinpier.net.clients import Asked, Client, hashed
+from whinpier.net.clients import Asked, Client, hashed, retry_after
 from whinpier.net.config import Config, Entry
 from whinpier.net.discovery import Discovery
 from whinpier.net.upstreams import HOP, Answer, Link, Sending, Server
@@ -72,7 +72,6 @@
         self.stopped, self.collect_from = 0, 0
         self.choice = Choice(self, config.settings, config.workloads, config.seed)
         self.discovery = Discovery(config, self.told, self.choice.split.random)
-        self.following = config.settings.get("discovery") != "subscribe"
 
     def clock(self) -> int:
         return time.monotonic_ns() + self.offset
@@ -159,8 +158,7 @@
         self.stop_waiting(hand_off, WITHDRAWN)
 
     def turn_back(self, task: Task, wait: int = 0) -> None:
-        headers = [(b"retry-after", b"%.3f" % (wait / SECOND))] if wait else []
-        self.finish(task, "turned_back", 503, b"turned back\n", headers)
+        self.finish(task, "turned_back", 503, b"turned back\n", retry_after(wait))
 
     def scrap(self, task: Task) -> None:
         self.finish(task, "scrapped", 502, b"not fulfilled\n")
@@ -182,7 +180,6 @@
         """Room for it: balancers share nothing."""
 
     def follow_list(self, on: bool) -> None:
-        self.following = on
         self.discovery.follow(on)
 
     def fetch_list(self) -> None:
@@ -229,7 +226,7 @@
 
     def stop_waiting(self, hand_off: HandOff, outcome: str) -> None:
         assert isinstance(hand_off, Sending)
-        if hand_off.outcome or hand_off.settled:
+        if hand_off.settled:
             return
         if hand_off.link:
             hand_off.link.give_up()
@@ -375,7 +372,7 @@
         for client in list(self.clients):
             client.sweep(now)
         for server in self.held.values():
-            server.close_idle(now - self.config.idle_limit // 2)
+            server.close_idle(server.oldest())
 
     def collecting(self, phase: str, _: dict[str, int]) -> None:
         """Note how long a garbage collection stops the loop."""
@@ -417,7 +414,7 @@
                 self.told(self.config.known, True, cached=True)
             self.spawn(self.terminate, self.tasks.cancel_scope.cancel)
             self.spawn(self.discovery.run, lambda: None)
-            self.discovery.follow(self.following)
+            self.discovery.follow(self.config.settings.get("discovery") != "subscribe")
             self.at(self.clock() + SWEEP, self.sweep)
             self.at(self.clock() + FIGURES, self.figures)
             # What is there by now stays: collecting it over and over would only stop the loop.
--- a/whinpier/net/buffers.py
+++ b/whinpier/net/buffers.py
@@ -6,11 +6,14 @@
 from __future__ import annotations
 
 import socket
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 import anyio
 import h11
 
+if TYPE_CHECKING:
+    from whinpier.net.balancer import Balancer
+
 SIZE = 64 * 1024  # the largest body in one read; a body and its head seldom come in more than two
 KEPT = 8  # a read ends before the next begins: more than one is in use only where reads nest
 
@@ -47,16 +50,31 @@
         give(buffer)
 
 
-class Writer:
-    """A connection's way out: what its socket does not take at once goes out as it can."""
+class Connection:
+    """What both sides do with a socket: take in what comes, write what it takes, and the rest as it can."""
 
+    balancer: Balancer
     sock: socket.socket
-    left: memoryview
+    left: memoryview  # of what is written, what the socket has not taken yet
     closed: bool
 
+    def read(self) -> None:
+        raise NotImplementedError
+
     def close(self) -> None:
         raise NotImplementedError
 
+    async def take_in(self) -> None:
+        while not self.closed:
+            await anyio.wait_readable(self.sock)
+            self.read()
+
+    def write(self, data: bytes) -> None:
+        self.left = memoryview(data)
+        self.flush()
+        if self.left and not self.closed:
+            self.balancer.spawn(self.drain, self.close)
+
     def flush(self) -> None:
         try:
             self.left = self.left[self.sock.send(self.left):]
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -56,7 +56,12 @@
     return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
 
 
-class Client(buffers.Writer):
+def retry_after(wait: int) -> list[tuple[bytes, bytes]]:
+    """The header that tells a client when to come back."""
+    return [(b"retry-after", b"%.3f" % (wait / SECOND))] if wait else []
+
+
+class Client(buffers.Connection):
     """One connection of a client."""
 
     def __init__(self, balancer: Balancer, sock: socket.socket, turned_back: bool) -> None:
@@ -67,15 +72,13 @@
         self.parts: list[bytes] = []
         self.size, self.since = 0, balancer.clock()  # since when it is idle, is read, is answered for good
         self.task: Asked | None = None
-        self.left = memoryview(b"")  # of an answer, what the socket has not taken yet
+        self.left = memoryview(b"")
         self.reading, self.begun, self.last, self.closed = False, False, False, False
 
     async def run(self) -> None:
         """Take in what comes until the connection ends."""
         try:
-            while not self.closed:
-                await anyio.wait_readable(self.sock)
-                self.read()
+            await self.take_in()
         except (OSError, anyio.ClosedResourceError):
             pass
         finally:
@@ -142,8 +145,7 @@
             return
         if self.turned_back or self.balancer.overrun:
             log.counts["turned_back_at_the_door"] += 1
-            wait = b"%.3f" % (task.workload.agreed_time / 4 / SECOND)
-            self.answer(503, b"turned back\n", [(b"retry-after", wait)], last=self.turned_back)
+            self.answer(503, b"turned back\n", retry_after(task.workload.agreed_time // 4), self.turned_back)
             return
         self.task = task
         self.balancer.take(task)
@@ -210,10 +212,7 @@
         if self.left:
             self.left = memoryview(bytes(self.left) + data)
             return
-        self.left = memoryview(data)
-        self.flush()
-        if self.left and not self.closed:
-            self.balancer.spawn(self.drain, self.close)
+        self.write(data)
 
     def flush(self) -> None:
         super().flush()
@@ -252,9 +251,7 @@
             return False
         try:
             return not self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
+        except OSError:  # nothing there, or the connection broken
             return True
 
     def close(self) -> None:
--- a/whinpier/net/upstreams.py
+++ b/whinpier/net/upstreams.py
@@ -125,7 +125,7 @@
             link.since = self.balancer.clock()
             self.idle.append(link)
 
-    def not_opened(self, link: Link) -> None:
+    def not_opened(self) -> None:
         """A connection did not come up: whoever waited for it longest has its outcome."""
         if len(self.waiting) > self.opening:
             self.balancer.settle(self.waiting.popleft(), NO_CONNECTION)
@@ -135,6 +135,10 @@
             self.address = address
             self.close_idle()
 
+    def oldest(self) -> int:
+        """Since when a connection may have been idle to be kept."""
+        return self.balancer.clock() - int(KEEP * self.balancer.config.idle_limit)
+
     def close_idle(self, since: int | None = None) -> None:
         for link in [link for link in self.idle if since is None or link.since < since]:
             link.close()
@@ -146,7 +150,7 @@
             self.balancer.settle(self.waiting.popleft(), MOOT)
 
 
-class Link(buffers.Writer):
+class Link(buffers.Connection):
     """One connection to an upstream."""
 
     def __init__(self, server: Server) -> None:
@@ -156,7 +160,7 @@
         self.parser = h11.Connection(h11.CLIENT)
         self.sending: Sending | None = None
         self.answer = Answer()
-        self.left = memoryview(b"")  # of what is sent, what the socket has not taken yet
+        self.left = memoryview(b"")
         self.since, self.up, self.closed = 0, False, False
 
     async def run(self) -> None:
@@ -170,9 +174,7 @@
                 return
             self.up, self.server.opening = True, self.server.opening - 1
             self.server.free(self)
-            while not self.closed:
-                await anyio.wait_readable(self.sock)
-                self.read()
+            await self.take_in()
         except (OSError, anyio.ClosedResourceError):
             pass
         finally:
@@ -184,7 +186,7 @@
 
     def sound(self) -> bool:
         """Whether an idle connection still stands and holds nothing that nobody asked for."""
-        if self.since < self.balancer.clock() - int(KEEP * self.balancer.config.idle_limit):
+        if self.since < self.server.oldest():
             return False
         try:
             self.sock.recv(1, socket.MSG_PEEK)
@@ -210,10 +212,7 @@
             self.give_up()
             self.balancer.settle(sending, MOOT)
             return
-        self.left = memoryview(b"%sx-remaining: %.3f\r\n\r\n%s" % (asked.head, remaining, asked.body))
-        self.flush()
-        if self.left and not self.closed:
-            self.balancer.spawn(self.drain, self.close)
+        self.write(b"%sx-remaining: %.3f\r\n\r\n%s" % (asked.head, remaining, asked.body))
 
     def read(self) -> None:
         try:
@@ -288,7 +287,7 @@
         self.sock.close()
         if not self.up:
             self.server.opening -= 1
-            self.server.not_opened(self)
+            self.server.not_opened()
         if sending := self.sending:
             self.sending = sending.link = None
             self.balancer.settle(sending, NO_CONNECTION if self.left else RESET)
