SIGHUP reads the configuration again and follows discovery to its new address

Nothing in net/balancer.py (terminate) took that signal, and config.read put the environment before the file, so that a reload would have found the old address of discovery again.

Now: signals are heeded until the end, also while stopping; a file that is missing, cut short or faulty is logged with its key and changes nothing; another address of discovery is followed by asking for its whole list (numbers of one need not be those of the other), with all tasks, connections and measurements kept. Met in the same reading: names in `dial` would have been looked up with the loop stopped; figures that are no numbers or beyond all bounds, deep nesting and a file that is a pipe raised or waited; an empty answer to the question for the list was asked again without a pause. The story of it fails without the change (the process ends at the signal).

--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -31,6 +31,10 @@
 @pytest.mark.parametrize("key, value, said", [
     ("listen", "nowhere", "listen"),
     ("listen", "127.0.0.1:99999", "listen"),
+    ("listen", "localhost:9000", "listen"),
+    ("settings/goal/whole", float("nan"), "goal.whole"),
+    ("settings/limits/keepalive_us", float("inf"), "settings"),
+    ("known/hosts", [{"host": "a", "dial": "127.0.0.1:1", "health": "up", "born_ms": 1e300}], "hosts"),
     ("discovery", None, "discovery"),
     ("seed", "xyz", "seed"),
     ("limits", 7, "limits"),
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -52,8 +52,10 @@
         }
         given["limits"] |= settings.pop("sockets", {})
         given["settings"]["limits"] |= settings
-        (folder / "config.json").write_text(json.dumps(given))
-        self.environment = os.environ | {"BALANCER_CONFIG": str(folder / "config.json")}
+        self.given, self.file = given, folder / "config.json"
+        self.file.write_text(json.dumps(given))
+        self.environment = os.environ | {"BALANCER_CONFIG": str(self.file),
+                                         "BALANCER_DISCOVERY": self.discovery.dial}
         self.log = folder / "log"
         with self.log.open("wb") as errors:
             self.process = subprocess.Popen([sys.executable, "-m", "whinpier"], env=self.environment,
@@ -330,6 +332,37 @@
     other.stop()
 
 
+def test_told_to_read_its_configuration_again_it_follows_the_list_elsewhere_and_keeps_all_it_has(tmp_path):
+    told, other = [], Upstream(good)
+    slow = Upstream(lambda request: until(lambda: told) and good(request))
+    moved = Discovery(slow.entry("s-0"))
+    with started(tmp_path, slow) as bank:
+        client = bank.client()
+        client.request("POST", "/charge", b"{}", {"X-Txn": "1", "X-Remaining": "3"})
+        until(bank.met)
+        for text in [None, "{", json.dumps(bank.given | {"discovery": "nowhere"}),
+                     json.dumps(bank.given | {"discovery": moved.dial})]:
+            bank.file.unlink(missing_ok=True)
+            if text is not None:
+                bank.file.write_text(text)
+            lines = bank.log.read_text().count("event=configur")
+            bank.process.send_signal(signal.SIGHUP)
+            until(lambda: bank.log.read_text().count("event=configur") > lines)
+        until(lambda: "/discovery/hosts?watch=1&from=1" in moved.asked)
+        bank.discovery.hang_up()
+        moved.change(other.entry("s-1"))
+        until(lambda: bank.said("ready=2"))
+        told.append("go on")
+        assert client.getresponse().status == 200 and len(bank.met()) == 1 and slow.opened == 1
+        assert bank.log.read_text().count("configuration_fault") == 3 and bank.said("discovery: 'nowhere'")
+        bank.process.send_signal(signal.SIGTERM)
+        until(lambda: bank.said("event=stopping"))
+        bank.process.send_signal(signal.SIGHUP)
+        assert bank.process.wait(LIMIT) == 0
+    moved.stop()
+    other.stop()
+
+
 def test_a_watch_that_falls_silent_is_taken_up_again(tmp_path):
     with started(tmp_path, Upstream(good)) as bank:
         bank.discovery.beat = 60.0
--- a/whinpier/__main__.py
+++ b/whinpier/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import socket
 import sys
 
@@ -20,6 +21,8 @@
 def main() -> int:
     """0 after an ordered end, 1 where the address can't be had, 2 for a faulty configuration."""
     log.set_up()
+    # Until the loop takes it over: a reload before that would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         config = read(os.environ)
     except ConfigFault as fault:
--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -8,11 +8,13 @@
 
 import gc
 import heapq
+import os
 import signal
 import socket
 import time
 from collections import Counter, deque
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from itertools import count as numbers
 from typing import Any
 
@@ -24,7 +26,7 @@
 from whinpier.model import (DRAINING, FULFILLED, GONE, READY, TIMED_OUT, WITHDRAWN, HandOff, Task, Upstream)
 from whinpier.net import log
 from whinpier.net.clients import Asked, Client, hashed, retry_after
-from whinpier.net.config import Config, Entry
+from whinpier.net.config import Config, ConfigFault, Entry, changes, read
 from whinpier.net.discovery import Discovery
 from whinpier.net.upstreams import HOP, Answer, Link, Sending, Server
 
@@ -388,13 +390,34 @@
                 cpu_s=round(time.process_time(), 2), **log.counts)
         self.lag = self.stopped = 0
 
+    async def heed(self) -> None:
+        """Signals, until the end: none of them may fall back to ending the process at once."""
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self.configure()
+                elif not self.stopping:
+                    self.stopping = True
+                    self.spawn(self.terminate, self.tasks.cancel_scope.cancel)
+
+    def configure(self) -> None:
+        """SIGHUP: read the configuration again; a faulty one changes nothing."""
+        log.counts["reloads"] += 1
+        try:
+            new = read(os.environ)
+        except ConfigFault as fault:
+            log.warn("configuration_fault", fault=fault)
+            return
+        changed = changes(self.config, new)
+        till_restart = ",".join(key for key in changed if key != "discovery")
+        log.say("configured", discovery="%s:%d" % new.discovery, kept_till_restart=till_restart)
+        if "discovery" in changed:
+            self.config = replace(self.config, discovery=new.discovery)
+            self.discovery.move(new.discovery)
+
     async def terminate(self) -> None:
         """SIGTERM: answer what comes and close behind it; leave when all is answered."""
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                break
         log.say("stopping", out=self.out, clients=len(self.clients))
-        self.stopping = True
         await anyio.sleep(STILL_COMING / SECOND)
         ends = self.clock() + max(workload.patience for workload in self.config.workloads)
         for client in list(self.clients):
@@ -412,7 +435,7 @@
         async with anyio.create_task_group() as self.tasks:
             if self.config.known:
                 self.told(self.config.known, True, cached=True)
-            self.spawn(self.terminate, self.tasks.cancel_scope.cancel)
+            self.spawn(self.heed, self.tasks.cancel_scope.cancel)
             self.spawn(self.discovery.run, lambda: None)
             self.discovery.follow(self.config.settings.get("discovery") != "subscribe")
             self.at(self.clock() + SWEEP, self.sweep)
--- a/whinpier/net/config.py
+++ b/whinpier/net/config.py
@@ -1,14 +1,19 @@
 """The one place where the environment and the configuration file are read, checked and given defaults.
 
-Owns the names of keys, the units they come in and what is said about a faulty one. Must never be asked again
-after the start, and must never let a fault through without the name of its key.
+Owns the names of keys, the units they come in and what is said about a faulty one. It is asked at the start
+and at each SIGHUP, by the same code. Must never let a fault through without the name of its key, wait for a
+file that is none, or raise anything but a ConfigFault.
 """
 
 from __future__ import annotations
 
 import json
+import os
+import stat
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
+from ipaddress import AddressValueError, IPv4Address
+from math import isfinite
 from typing import Any
 
 from whinpier import settings as common
@@ -16,6 +21,8 @@
 
 Address = tuple[str, int]
 STATES = {"up": READY, "draining": DRAINING, "removed": GONE}
+LARGEST = 8 * 1024 * 1024  # of the file: a list of thousands of upstreams and the settings are a tenth of it
+LATEST = 2**53  # milliseconds: what JSON numbers hold exactly; later times would only upset arithmetic
 
 
 class ConfigFault(Exception):
@@ -59,17 +66,26 @@
     if not (isinstance(text, str) and mark and host and port.isascii() and port.isdigit()
             and 0 < int(port) < 65536):
         raise ConfigFault(f"{key}: {text!r} is not HOST:PORT")
-    return host, int(port)
+    try:
+        # Guards against a name: looking it up would stop the loop at every connection.
+        return str(IPv4Address(host)), int(port)
+    except AddressValueError:
+        raise ConfigFault(f"{key}: {text!r} is no IPv4 address") from None
 
 
 def entries(hosts: Any) -> list[Entry]:
     """The entries of a list, all or none."""
     try:
-        return [Entry(str(host["host"]), address(host["dial"], "dial"), STATES[host["health"]],
-                      str(host.get("site", "")), str(host.get("class", "")), int(host.get("block", 0)),
-                      float(host.get("share", 1.0)), int(host.get("born_ms", 0)) * 1_000_000)
-                for host in hosts]
-    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as fault:
+        found = [Entry(str(host["host"]), address(host["dial"], "dial"), STATES[host["health"]],
+                       str(host.get("site", "")), str(host.get("class", "")), int(host.get("block", 0)),
+                       float(host.get("share", 1.0)), int(host.get("born_ms", 0)) * 1_000_000)
+                 for host in hosts]
+        for entry in found:
+            latest = LATEST * 1_000_000
+            if not (isfinite(entry.size) and 0 <= entry.started < latest and abs(entry.cell) < LATEST):
+                raise ValueError(f"a figure of {entry.host!r} is out of bounds")
+        return found
+    except (ConfigFault, AttributeError, KeyError, TypeError, ValueError, OverflowError) as fault:
         raise ConfigFault(f"hosts: {type(fault).__name__}: {fault}") from None
 
 
@@ -97,7 +113,9 @@
 
 def checked(found: dict[str, Any], key: str, kind: type, default: Any, least: float | None = None) -> Any:
     value = found.get(key, default)
-    good = isinstance(value, (int, float) if kind is float else kind) and not (kind is int and value is True)
+    good = isinstance(value, (int, float) if kind is float else kind)
+    good = good and not (kind is int and value is True)
+    good = good and (not isinstance(value, float) or isfinite(value))
     if not good or (least is not None and value < least):
         floor = f" of at least {least}" if least is not None else ""
         raise ConfigFault(f"{key}: {value!r} is not {kind.__name__}{floor}")
@@ -125,21 +143,44 @@
         raise ConfigFault(f"settings: {fault}") from None
 
 
+def load(path: str) -> Any:
+    """What the file holds. Guards against one that never ends, or keeps whoever opens it waiting."""
+    file = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
+    with open(file, "rb") as opened:
+        if not stat.S_ISREG(os.fstat(file).st_mode):
+            raise ValueError("is no plain file")
+        text = opened.read(LARGEST + 1)
+    if len(text) > LARGEST:
+        raise ValueError(f"is larger than {LARGEST} bytes")
+    return json.loads(text)
+
+
 def read(environment: Mapping[str, str]) -> Config:
-    """The configuration; what the environment says goes before the file."""
+    """The configuration; the environment says what the file does not.
+
+    The file goes first since it alone can be replaced under a running balancer: an address of discovery that
+    the environment gave at the start may be an old one.
+    """
     path = environment.get("BALANCER_CONFIG")
     if not path:
         raise ConfigFault("BALANCER_CONFIG: is not set")
     try:
-        with open(path, encoding="utf-8") as file:
-            given = json.load(file)
-    except (OSError, ValueError) as fault:
+        given = load(path)
+    except (OSError, ValueError, RecursionError) as fault:
         raise ConfigFault(f"BALANCER_CONFIG: {path}: {fault}") from None
     if not isinstance(given, dict):
         raise ConfigFault(f"BALANCER_CONFIG: {path}: holds no object")
+    try:
+        return made(given, environment)
+    except (ArithmeticError, AttributeError, KeyError, TypeError, ValueError, RecursionError) as fault:
+        # Guards against a kind of fault that no check has thought of: it must not end a running balancer.
+        raise ConfigFault(f"settings: {type(fault).__name__}: {fault}") from None
+
+
+def made(given: dict[str, Any], environment: Mapping[str, str]) -> Config:
     for key, variable in (("name", "BALANCER_NAME"), ("listen", "BALANCER_LISTEN"),
                           ("discovery", "BALANCER_DISCOVERY")):
-        given[key] = environment.get(variable) or given.get(key)
+        given[key] = given.get(key) or environment.get(variable)
     limits, known = checked(given, "limits", dict, {}), checked(given, "known", dict, {})
     try:
         seed = int(given.get("seed", ""), 16) if isinstance(given.get("seed"), str) else int(given["seed"])
@@ -162,3 +203,10 @@
         connect_limit=found.get("limits.connect_timeout", 250_000_000),
         idle_limit=found.get("limits.keepalive", 60_000_000_000),
     )
+
+
+def changes(old: Config, new: Config) -> list[str]:
+    """Which keys a new configuration has otherwise. The seed and the list of `known` are for a start only."""
+    passed_over = ("seed", "known", "seq", "workloads")  # workloads are settings too
+    return [key.name for key in fields(Config)
+            if key.name not in passed_over and getattr(old, key.name) != getattr(new, key.name)]
--- a/whinpier/net/discovery.py
+++ b/whinpier/net/discovery.py
@@ -13,12 +13,12 @@
 import h11
 
 from whinpier.net import buffers, log
-from whinpier.net.config import Config, ConfigFault, Entry, entries
+from whinpier.net.config import Address, Config, ConfigFault, Entry, entries
 
 SILENCE = 2.5  # seconds: a line comes at least every 2, so that one is missing
 ANSWER = 1.0  # seconds to connect, and as long until an answer begins: it is on this machine
-FIRST, LONGEST = 0.05, 1.0  # seconds between tries: what it tells counts as told 6 s later at the latest
-LINE = 4 * 1024 * 1024  # the longest line: thousands of upstreams
+FIRST, LONGEST = 0.05, 0.5  # seconds between tries: what it tells counts as told 4 s later at the latest
+LINE = 1024 * 1024  # the longest line: thousands of upstreams, and what reading it takes fits in 32 MB
 
 
 class Discovery:
@@ -48,6 +48,12 @@
         if self.sock:
             anyio.notify_closing(self.sock)
 
+    def move(self, address: Address) -> None:
+        """Follow the list at another address; what is known stays until that one has told its whole list."""
+        # Guards against changes missed between the two: numbers of one need not be those of the other.
+        self.address, self.seq, self.wait = address, None, FIRST
+        self.hang_up()
+
     async def run(self) -> None:
         while True:
             if not (self.following or self.once):
@@ -57,6 +63,8 @@
             try:
                 if self.once or self.seq is None:
                     await self.ask("")
+                    if self.seq is None:
+                        raise ConfigFault("an answer without a list")
                     self.once = False
                     continue
                 await self.ask(f"?watch=1&from={self.seq}")
@@ -73,11 +81,11 @@
 
     async def ask(self, query: str) -> None:
         """Take in the lines of one answer as they come; the whole list alone is one line."""
-        parser, rest, begun = h11.Connection(h11.CLIENT), b"", False
+        parser, rest, begun, address = h11.Connection(h11.CLIENT), b"", False, self.address
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as self.sock:
             try:
                 with anyio.fail_after(ANSWER):
-                    self.sock.connect_ex(self.address)
+                    self.sock.connect_ex(address)
                     await anyio.wait_writable(self.sock)
                 asked = h11.Request(method="GET", target="/discovery/hosts" + query,
                                     headers=[("host", "discovery"), ("accept", "application/json")])
@@ -86,6 +94,8 @@
                     if event is h11.NEED_DATA:
                         with anyio.fail_after(SILENCE if begun else ANSWER):
                             await anyio.wait_readable(self.sock)
+                        if self.address != address:
+                            raise ConnectionAbortedError("discovery has moved")
                         buffers.feed(parser, self.sock)
                     elif isinstance(event, h11.Response):
                         begun = True
@@ -109,7 +119,7 @@
         try:
             found = json.loads(line)
             seq, whole, hosts = found["seq"], found["whole"], found["hosts"]
-        except (ValueError, KeyError, TypeError) as fault:
+        except (ValueError, KeyError, TypeError, RecursionError) as fault:
             raise ConfigFault(f"{type(fault).__name__}: {fault}") from None
         if not (isinstance(seq, int) and isinstance(whole, bool) and isinstance(hosts, list)):
             raise ConfigFault("seq, whole or hosts are of another kind")
