--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -10,6 +10,7 @@
 import time
 from contextlib import contextmanager
 from http.client import HTTPConnection, HTTPResponse
+from itertools import count as numbers
 from pathlib import Path
 
 import anyio
@@ -25,6 +26,7 @@
 
 GIVEN = json.loads(Path("example/config.json").read_text())
 HEAD = "POST /charge HTTP/1.1\r\nHost: a\r\n"
+ids = numbers()  # no two tasks have the same
 LIMIT = 10.0  # seconds that anything may take; what is waited for comes much sooner
 
 
@@ -82,7 +84,8 @@
 
     def ask(self, method, path, body=None, client=None, **headers):
         client = client or self.client()
-        given = {"X-Txn": "1f", "X-Remaining": "1.5"} | {n.replace("_", "-"): v for n, v in headers.items()}
+        given = {"X-Txn": f"f{next(ids):x}", "X-Remaining": "1.5"}
+        given |= {name.replace("_", "-"): value for name, value in headers.items()}
         client.request(method, path, body, {name: value for name, value in given.items() if value})
         answer = client.getresponse()
         answer.body = answer.read()
@@ -181,10 +184,10 @@
 
 
 def test_two_tasks_sent_at_once_on_one_connection_are_answered_in_turn(tmp_path):
-    task = b"GET /look/%d HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nX-Remaining: 1\r\n%s\r\n"
+    task = b"GET /look/%d HTTP/1.1\r\nHost: a\r\nX-Txn: %d\r\nX-Remaining: 1\r\n%s\r\n"
     echo = Upstream(lambda request: request.reply(200, request.path.encode()))
     with started(tmp_path, echo) as bank:
-        sock = bank.raw(task % (1, b"") + task % (2, b"Connection: close\r\n"))
+        sock = bank.raw(task % (1, 1, b"") + task % (2, 2, b"Connection: close\r\n"))
         said = sock.makefile("rb").read()
         assert said.index(b"/look/1") < said.index(b"/look/2") and said.count(b"200 OK") == 2
 
@@ -195,6 +198,13 @@
     raw(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), raw(b"\x16\x03rubbish\r\n\r\n"),
     raw(b"HTTP/1.1 200 OK\r\n\r\nno length: cut or whole?"), raw(b"HTTP/1.1 102 x\r\n\r\n" * 50),
     raw(b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000),
+    raw(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+    raw(b"HTTP/1.1 200 OK\nContent-Length: 0\r\n\r\n"),
+    # From here on with the connection left open, and no more.
+    lambda request: request.wfile.write(b"HTTP/1.1 200 OK\r\nX-Never: e"),
+    lambda request: request.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"),
+    lambda request: request.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx"),
+    lambda request: request.wfile.write(b"\0\1noise" * 10),
 ])
 def test_what_may_have_run_is_sent_again_only_for_a_ticketed_task(tmp_path, bad, kind):
     turns = iter([bad, good])
@@ -229,6 +239,12 @@
         assert [bank.charge().status for _ in range(6)] == [200] * 6
 
 
+@pytest.mark.parametrize("pressure", ["", "x", "served_ps=nan", "served_ps=1e999,,=", "\x01;\xff"])
+def test_a_load_report_that_cannot_be_read_costs_its_answer_nothing(tmp_path, pressure):
+    with started(tmp_path, Upstream(lambda request: request.reply(200, b"ok", X_Pressure=pressure))) as bank:
+        assert [bank.charge().body for _ in range(3)] == [b"ok"] * 3
+
+
 def test_surplus_bytes_do_not_pass_for_the_next_answer(tmp_path):
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
     two = Upstream(lambda request: request.wfile.write(answer + b"mine" + answer + b"none"))
@@ -400,6 +416,18 @@
     (HEAD + "X-Txn: 1\r\nX-Remaining: 1\r\nContent-Length: 70000\r\n\r\n" + "x" * 70000, 413),
     (HEAD + "X-Txn: 1\r\nX-Long: " + "x" * 70000 + "\r\n\r\n", 431),
     (HEAD + "X-Txn: 1\r\nX-Remaining: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+    (HEAD + "X-Txn: 1\r\nX-Remaining: 1_0\r\nContent-Length: 0\r\n\r\n", 400),
+    (HEAD + "X-Txn: 1\r\nX-Txn: 2\r\nX-Remaining: 1\r\nContent-Length: 0\r\n\r\n", 400),
+    (HEAD + "X-Txn: 1\r\nX-Remaining: 1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+     + HEAD + "X-Txn: 2\r\nX-Remaining: 1\r\nContent-Length: 0\r\n\r\n", 400),
+    (HEAD.replace("1.1", "1.0")
+     + "X-Txn: 1\r\nX-Remaining: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+    (HEAD.replace("1.1", "3.0") + "X-Txn: 1\r\nX-Remaining: 1\r\nContent-Length: 0\r\n\r\n", 505),
+    (HEAD + "X-Txn: 1\nX-Remaining: 1\r\nContent-Length: 0\r\n\r\n", 400),
+    (HEAD + "X-Txn: 1\r\n 2\r\nX-Remaining: 1\r\nContent-Length: 0\r\n\r\n", 400),
+    (HEAD + "X-Txn: 1\r\nX-Remaining: 1\r\nContent-Length: -1\r\n\r\n", 400),
+    (HEAD + "X-Txn: 1\r\nX-Remaining: 1\r\nContent-Length: " + "9" * 12 + "\r\n\r\n", 413),
+    ((HEAD + "X-Txn: 1\r\nX-Remaining: 1\r\nContent-Length: 0\r\n\r\n") * 200, 400),
     ("CONNECT charge HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nX-Remaining: 1\r\n\r\n", 405),
 ])
 def test_what_is_no_task_is_answered_and_never_sent(tmp_path, data, status):
@@ -416,6 +444,29 @@
         assert not bank.met()
 
 
+def test_an_id_that_another_task_has_or_had_is_refused(tmp_path):
+    let_go = []
+    with started(tmp_path, Upstream(lambda request: until(lambda: let_go) and good(request))) as bank:
+        client = bank.client()
+        client.request("POST", "/charge", b"{}", {"X-Txn": "7", "X-Remaining": "3"})
+        until(bank.met)
+        assert bank.charge(X_Txn="7").status == 409
+        let_go.append("all")
+        assert client.getresponse().status == 200 and bank.charge(X_Txn="7").status == 409
+        assert len(bank.met()) == 1
+
+
+def test_a_client_that_says_nothing_or_too_much_is_let_go_and_others_are_served(tmp_path):
+    with started(tmp_path, Upstream(good), sockets={"sockets": 64}) as bank:
+        began, silent = time.monotonic(), [bank.raw() for _ in range(60)]  # more than it can hold
+        assert [bank.charge().status for _ in range(5)] == [200] * 5
+        sock = bank.raw(f"{HEAD}X-Txn: 1\r\nX-Remaining: 1\r\nContent-Length: 60000000\r\n\r\n".encode())
+        with pytest.raises(OSError):
+            for _ in range(1000):
+                sock.sendall(b"x" * 60_000)
+        assert all(sock.recv(1) == b"" for sock in silent) and time.monotonic() - began < 3
+
+
 def test_more_clients_than_descriptors_wait_their_turn(tmp_path):
     with started(tmp_path, Upstream(good), sockets={"sockets": 64}) as bank:
         answers = [bank.charge() for _ in range(100)]  # each on a connection that its client keeps
@@ -427,10 +478,10 @@
 
 def test_at_the_limit_of_descriptors_no_client_that_has_asked_is_closed_unheard(tmp_path):
     let_go = []
-    task = f"{HEAD}X-Txn: 1\r\nX-Remaining: 3\r\nContent-Length: 0\r\n\r\n".encode()
+    task = HEAD + "X-Txn: %d\r\nX-Remaining: 3\r\nContent-Length: 0\r\n\r\n"
     slow = Upstream(lambda request: until(lambda: let_go) and good(request))
     with started(tmp_path, slow, sockets={"sockets": 64}) as bank:
-        asked = [bank.raw(task).makefile("rb") for _ in range(40)]  # all at once, and more than it can hold
+        asked = [bank.raw((task % n).encode()).makefile("rb") for n in range(40)]  # more than it can hold
         turned_back = until(lambda: bank.met()) and [file.readline() for file in asked[-5:]]
         let_go.append("all")
         lines = turned_back + [file.readline() for file in asked[:-5]]
@@ -515,8 +566,8 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(balancer.serve, listener)
             async with await anyio.connect_tcp(*config.listen) as client:
-                for _ in range(2):
-                    task = f"{HEAD}X-Txn: 1\r\nX-Remaining: 0.5\r\nContent-Length: 0\r\n\r\n"
+                for number in range(2):
+                    task = f"{HEAD}X-Txn: {number}\r\nX-Remaining: 0.5\r\nContent-Length: 0\r\n\r\n"
                     await client.send(task.encode())
                     with anyio.fail_after(LIMIT):
                         assert (await client.receive()).startswith(b"HTTP/1.1 502")
--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -15,7 +15,7 @@
 from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
-from itertools import count as numbers
+from itertools import count as numbers, takewhile
 from typing import Any
 
 import anyio
@@ -32,12 +32,14 @@
 
 STILL_COMING = 6 * SECOND // 10  # after SIGTERM new connections go on coming for up to 0.4 s
 START = SECOND  # to be told the list before the one that was known must do
-SWEEP = SECOND  # between looks at what waits too long: the limits are seconds
+SWEEP = SECOND // 4  # between looks at what waits too long: what is owed within 3 s is given after 2
 FIGURES = 10 * SECOND  # between lines of figures
 SPARE = 24  # descriptors kept back: the standard ones, listener, discovery, the loop's own; a dozen in all
 DOOR, MOST_DOOR = 8, 64  # one in so many, and the most, for clients turned back at the door: short bursts
 PART = 0.6  # of the rest for clients: each task needs one descriptor, and one more while it is out
 UNUSED = SECOND // 10  # a connection idle for less may be about to be used again
+SILENT = SECOND // 20  # who has come asks at once: the way from a client, many times over
+BODIES = 16  # one part in so many of the memory is for bodies; usual ones are a hundredth of that
 BACKLOG = 1024
 MARGIN = SECOND // 200  # a way to the client, five times over, where the loop is in time
 MOST_LATE = SECOND // 20  # as late as the rules let an answer be
@@ -60,8 +62,12 @@
         self.inside = False
         self.held: dict[str, Server] = {}  # the list as last told
         self.clients: set[Client] = set()
+        self.strangers: dict[Client, None] = {}  # those that have asked for nothing yet, the oldest first
+        self.ids: dict[bytes, Asked] = {}  # of tasks till the end of their patience, answered or not
+        self.bodies, self.most_bodies = 0, config.memory // BODIES  # bytes
         self.links: set[Link] = set()
         self.out = 0  # tasks without an answer
+        self.columns: list[str] = config.settings["report.columns"]
         self.lanes = {workload.name.encode(): workload for workload in config.workloads}
         self.tenants = {name.encode(): index for index, name in enumerate(config.tenants)}
         self.stopping, self.told_once, self.began = False, False, self.now
@@ -196,6 +202,7 @@
         """A client's task."""
         self.out += 1
         log.counts["tasks"] += 1
+        self.ids[task.txn] = task
         self.at(task.ends, self.time_up, task)
         self.enter(self.choice.arrive, task)
 
@@ -225,6 +232,7 @@
         # Guards against long stops of the loop: tasks and hand-offs point to each other, so that without this
         # they would pile up, of an age that only a full collection looks at.
         task.hand_offs.clear()
+        del self.ids[task.txn]
 
     def stop_waiting(self, hand_off: HandOff, outcome: str) -> None:
         assert isinstance(hand_off, Sending)
@@ -250,7 +258,7 @@
         if first and answer:
             headers = [pair for pair in answer.headers if pair[0] not in HOP]
             self.finish(sending.task, "fulfilled", 200, b"".join(answer.parts), headers)
-        self.choice.came_back(sending, answer.load() if answer else None, first)
+        self.choice.came_back(sending, answer.load(self.columns) if answer else None, first)
 
     def client_left(self, task: Asked) -> None:
         if not task.ended:
@@ -304,44 +312,52 @@
 
     def crowded(self) -> bool:
         """Whether clients had better not keep their connections: then room comes with every answer."""
-        return len(self.clients) > 0.9 * self.most_clients
+        return len(self.clients) - len(self.strangers) > 0.9 * self.most_clients
+
+    def no_room(self) -> bool:
+        """Whether a task is turned back at the door: there are more clients than may be served."""
+        return len(self.clients) > self.most_clients and self.out >= self.connections - self.most_clients
 
     def make_room(self) -> bool:
         """Whether one more connection may be opened: the longest idle ones make way, upstreams' first."""
+        if self.full():
+            self.let_go()
         if self.full():
             idle = [link for server in self.held.values() for link in server.idle]
             if idle:
                 min(idle, key=lambda link: link.since).close()
-            else:
-                self.let_go()
         return not self.full()
 
     def full(self) -> bool:
         return len(self.links) + min(len(self.clients), self.most_clients) >= self.connections
 
     def let_go(self) -> None:
-        """Close a client that is not in use: one that has had its last answer, or else the longest idle.
+        """Close a client that is not in use: one that has had its last answer, has asked nothing, or is idle.
 
         Guards against ending one whose task is here already and only not read yet: that task would be lost.
         """
-        longest = sorted(self.clients, key=lambda client: (not client.last, client.since))
-        unused = (client for client in longest if client.unused(self.clock() - UNUSED))
-        if client := next(unused, None):
-            client.close()
+        now = self.clock()
+        done = (client for client in self.clients if client.last)
+        silent = takewhile(lambda client: client.since < now - SILENT, self.strangers)
+        idle = (client for client in self.clients if client.idle() and client.since < now - UNUSED)
+        for group in (done, silent, iter(sorted(idle, key=lambda client: client.since))):
+            if client := next((client for client in group if client.unused()), None):
+                client.close()
+                return
 
     def welcome(self, listener: socket.socket) -> bool:
         """Take one client in. One too many is only turned back: what waits unseen is lost in time."""
         if len(self.clients) >= self.most_clients:
             self.let_go()
-        turned_back = len(self.clients) >= self.most_clients or not self.make_room()
         most = min(self.most_clients, self.connections - len(self.links)) + self.door
-        if turned_back and len(self.clients) >= most:
+        if not self.make_room() and len(self.clients) >= most:
             return False
         sock, _ = listener.accept()
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client = Client(self, sock, turned_back)
+        client = Client(self, sock)
         self.clients.add(client)
+        self.strangers[client] = None
         self.spawn(client.run, client.close)
         return True
 
--- a/whinpier/net/buffers.py
+++ b/whinpier/net/buffers.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 from typing import TYPE_CHECKING, cast
 
@@ -17,6 +18,10 @@
 SIZE = 64 * 1024  # the largest body in one read; a body and its head seldom come in more than two
 KEPT = 8  # a read ends before the next begins: more than one is in use only where reads nest
 
+# What makes the lines of a head others for one reader than for the next: a line feed or a carriage return
+# that stands alone, and a line folded onto the one before.
+TWO_WAYS = re.compile(rb"(?<!\r)\n|\r(?!\n|\Z)|\r\n[ \t]")
+
 _spare: list[bytearray] = []
 
 
@@ -41,6 +46,24 @@
         give(buffer)
 
 
+def check_lines(parser: h11.Connection) -> None:
+    """Refuse a head whose lines can be read two ways. To be asked before the parser takes the head."""
+    ahead = parser.trailing_data[0]
+    end = ahead.find(b"\r\n\r\n")
+    if TWO_WAYS.search(ahead, 0, end + 2 if end >= 0 else len(ahead)):
+        raise h11.RemoteProtocolError("lines that can be read two ways")
+
+
+def check_framing(headers: list[tuple[bytes, bytes]], version: bytes) -> None:
+    """Refuse a message whose end can be read two ways. The parser sees to lengths that differ or are none."""
+    names = [name for name, _ in headers]
+    if version not in (b"1.1", b"1.0"):
+        raise h11.RemoteProtocolError("another version of HTTP", error_status_hint=505)
+    # Guards against a task hidden in the body of another: one reader goes by the length, the next by chunks.
+    if b"transfer-encoding" in names and (b"content-length" in names or version == b"1.0"):
+        raise h11.RemoteProtocolError("a length and chunks")
+
+
 def discard(sock: socket.socket) -> int:
     """Take what has come on a socket for nobody, and say how much; 0 at its end."""
     buffer = take()
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import hashlib
-import math
+import re
 import socket
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -24,9 +24,13 @@
 if TYPE_CHECKING:
     from whinpier.net.balancer import Balancer
 
-HALF = 5 * SECOND  # for one request or answer to pass whole: longer than any link needs for 64 KiB
-IDLE = 120 * SECOND  # between requests; clients keep connections and take no harm from losing one
-LINGER = SECOND  # for a client to take its last answer and close
+HALF = 2 * SECOND  # from connecting or its first byte for a request to be whole, or for an answer to be taken
+IDLE = 10 * SECOND  # between requests; clients keep connections and take no harm from losing one
+LINGER = SECOND // 2  # for a client to take its last answer and close
+SPILL = 256 * 1024  # bytes to let pass unread meanwhile: a body just too large, not one of many megabytes
+AHEAD = 8 * 1024  # bytes behind a request that has no answer yet: some requests, not hundreds
+NUMBER = re.compile(rb"[+-]?[0-9]{1,20}(\.[0-9]{0,20})?|[+-]?\.[0-9]{1,20}")
+ONCE = frozenset((b"x-txn", b"x-lane", b"x-remaining", b"idempotency-key", b"host"))  # of two, which holds?
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -41,13 +45,15 @@
 class Asked(Task):
     """A task with the client that waits for it and what goes on to an upstream."""
 
-    def __init__(self, client: Client, workload: Workload, came: int, ends: int, body: bytes) -> None:
+    __slots__ = ("client", "txn", "body", "head")
+
+    def __init__(self, client: Client, workload: Workload, came: int, ends: int, txn: bytes) -> None:
         super().__init__(client.balancer.next_id(), workload, came, ends)
-        self.client, self.body = client, body
+        self.client, self.txn, self.body = client, txn, b"".join(client.parts)
         head = [b"%s %s HTTP/1.1\r\n" % (client.method, client.target)]
         head += [b"%s: %s\r\n" % pair for pair in client.headers if pair[0] not in HOP]
         if client.method != b"GET":
-            head.append(b"content-length: %d\r\n" % len(body))
+            head.append(b"content-length: %d\r\n" % len(self.body))
         self.head = b"".join(head)  # but for what is left of its patience
 
 
@@ -64,13 +70,13 @@
 class Client(buffers.Connection):
     """One connection of a client."""
 
-    def __init__(self, balancer: Balancer, sock: socket.socket, turned_back: bool) -> None:
+    def __init__(self, balancer: Balancer, sock: socket.socket) -> None:
         self.balancer, self.sock = balancer, sock
-        self.turned_back = turned_back  # there is no room for its tasks: they do not reach the decisions
         self.parser = h11.Connection(h11.SERVER)
         self.method, self.target, self.headers = b"", b"", list[tuple[bytes, bytes]]()
         self.parts: list[bytes] = []
-        self.size, self.since = 0, balancer.clock()  # since when it is idle, is read, is answered for good
+        self.size, self.spilt = 0, 0  # bytes of its body; of what came behind its last answer
+        self.since = balancer.clock()  # since when it is here, is idle, is read, is answered for good
         self.task: Asked | None = None
         self.left = memoryview(b"")
         self.reading, self.begun, self.last, self.closed = False, False, False, False
@@ -86,19 +92,22 @@
 
     def read(self) -> None:
         try:
-            if not (buffers.discard(self.sock) if self.last else buffers.feed(self.parser, self.sock)):
-                self.close()
+            count = buffers.discard(self.sock) if self.last else buffers.feed(self.parser, self.sock)
         except BlockingIOError:
             return
         except OSError:
+            count = 0
+        if self.last:
+            self.spilt += count
+        if not count or self.spilt > SPILL:
             self.close()
-        if self.closed or self.last:
-            return
-        if self.task is None:
+        elif self.task is None and not self.last:
             if not self.reading:
-                self.reading, self.since = True, self.balancer.clock()
+                self.reading = True
+                if self not in self.balancer.strangers:  # their time runs from when they came
+                    self.since = self.balancer.clock()
             self.parse()
-        elif len(self.parser.trailing_data[0]) > buffers.SIZE:
+        elif len(self.parser.trailing_data[0]) > AHEAD:
             log.warn("client_floods")
             self.close()
 
@@ -106,14 +115,19 @@
         """Take in requests as far as they have come; one at a time is worked on."""
         try:
             while not self.closed and not self.last and self.task is None:
+                if not self.begun:
+                    buffers.check_lines(self.parser)
                 event = self.parser.next_event()
                 if isinstance(event, h11.Request):
                     self.begin(event)
                 elif isinstance(event, h11.Data):
                     self.size += len(event.data)
+                    self.balancer.bodies += len(event.data)
                     if self.size > BODY:
                         raise BadRequest(413, "body too large")
                     self.parts.append(bytes(event.data))
+                    if self.balancer.bodies > self.balancer.most_bodies:
+                        raise BadRequest(503, "too many bodies at once")
                 elif isinstance(event, h11.EndOfMessage):
                     self.reading = self.begun = False
                     self.request()
@@ -130,10 +144,15 @@
 
     def begin(self, request: h11.Request) -> None:
         self.method, self.target, self.headers = request.method, request.target, list(request.headers)
-        self.parts, self.size, self.begun = [], 0, True
+        self.parts, self.begun = [], True
+        buffers.check_framing(self.headers, request.http_version)
+        length = next((value for name, value in self.headers if name == b"content-length"), b"0")
+        if len(length) > 9 or int(length) > BODY:
+            raise BadRequest(413, "body too large")
 
     def request(self) -> None:
         """A whole request: a question of the front, or a task."""
+        self.balancer.strangers.pop(self, None)
         if self.target == b"/up":
             ready = self.balancer.ready()
             self.answer(200 if ready else 503, b"up\n" if ready else b"starting\n")
@@ -143,9 +162,9 @@
             log.counts["came_too_late"] += 1
             self.answer(504, b"too late\n")
             return
-        if self.turned_back or self.balancer.overrun:
+        if self.balancer.no_room() or self.balancer.overrun:
             log.counts["turned_back_at_the_door"] += 1
-            self.answer(503, b"turned back\n", retry_after(task.workload.agreed_time // 4), self.turned_back)
+            self.answer(503, b"turned back\n", retry_after(task.workload.agreed_time // 4))
             return
         self.task = task
         self.balancer.take(task)
@@ -153,28 +172,36 @@
     def read_task(self) -> Asked:
         """The task that a request stands for, with all that its headers say of it."""
         headers, balancer = dict(self.headers), self.balancer
+        if len(headers) < len(self.headers):
+            names = [name for name, _ in self.headers]
+            if any(names.count(name) > 1 for name in ONCE):
+                raise BadRequest(400, "a header that may come once came twice")
+        if len(self.parser.trailing_data[0]) > AHEAD:
+            raise BadRequest(400, "too many requests ahead of their turn")
         path, _, query = self.target.partition(b"?")
         lane = path.lstrip(b"/").partition(b"/")[0]
         workload = balancer.lanes.get(lane)
         if workload is None or headers.get(b"x-lane", lane) != lane:
             raise BadRequest(404, f"no such lane: {lane!r}")
-        ticket, body = headers.get(b"idempotency-key"), b"".join(self.parts)
+        ticket = headers.get(b"idempotency-key")
         if self.method != (b"GET" if workload.kind == RERUNNABLE else b"POST"):
             raise BadRequest(405, f"{self.method!r} does not fit the lane")
         if (workload.kind == TICKETED and not ticket or workload.kind == EXCLUSIVE and ticket
-                or workload.kind == RERUNNABLE and body):
+                or workload.kind == RERUNNABLE and self.size):
             raise BadRequest(400, "the lane's requests look otherwise")
-        if not headers.get(b"x-txn"):
+        txn = headers.get(b"x-txn")
+        if not txn:
             raise BadRequest(400, "no X-Txn")
-        try:
-            remaining = float(headers[b"x-remaining"])
-        except (KeyError, ValueError):
-            raise BadRequest(400, "no X-Remaining that can be read") from None
-        if not math.isfinite(remaining):
-            raise BadRequest(400, "X-Remaining is not finite")
+        if txn in balancer.ids:
+            # Guards against a second effect or another client's answer: an id is new with every request.
+            raise BadRequest(409, "an X-Txn that another request has")
+        given = headers.get(b"x-remaining", b"")
+        if not NUMBER.fullmatch(given):
+            raise BadRequest(400, "no X-Remaining that can be read")
+        remaining = float(given)
         came = balancer.clock()
         ends = came + min(int(remaining * SECOND), workload.patience) - balancer.margin()
-        task = Asked(self, workload, came, ends, body)
+        task = Asked(self, workload, came, ends, txn)
         key = parse_qs(query).get(b"obj", [b""])[0] if query else b""
         key = key or headers.get(b"x-entity", b"")
         task.key = hashed(key) if key else 0
@@ -191,7 +218,8 @@
     def answer(self, status: int, body: bytes, headers: list[tuple[bytes, bytes]] | None = None,
                last: bool = False) -> None:
         """Write the one answer to what was asked."""
-        self.task, self.parts = None, []
+        self.task = None
+        self.release()
         self.last = last or self.balancer.stopping or self.balancer.crowded()
         # Where the client ends its connection, or has not sent its request whole, nothing can follow.
         self.last = self.last or self.parser.their_state is not h11.DONE
@@ -208,6 +236,11 @@
             self.parser.receive_data(ahead)
             self.balancer.enter(self.parse)  # it came ahead of its turn; from outside any decision
 
+    def release(self) -> None:
+        """Its body counts no longer."""
+        self.balancer.bodies -= self.size
+        self.parts, self.size = [], 0
+
     def put(self, data: bytes) -> None:
         if self.left:
             self.left = memoryview(bytes(self.left) + data)
@@ -231,7 +264,7 @@
             if waited > HALF:
                 log.warn("slow_client", reading=self.reading)
                 self.close() if self.left else self.refuse(BadRequest(408, "half a request"))
-        elif waited > (LINGER if self.last else IDLE):
+        elif waited > (LINGER if self.last else HALF if self in self.balancer.strangers else IDLE):
             self.close()
 
     def read_last(self) -> None:
@@ -243,12 +276,10 @@
     def idle(self) -> bool:
         return self.task is None and not self.reading and not self.last and not self.left
 
-    def unused(self, since: int) -> bool:
+    def unused(self) -> bool:
         """Whether closing loses nothing: it had its last answer, or is idle and nothing has come unread."""
-        if self.last:
-            return not self.left
-        if not self.idle() or self.since > since:
-            return False
+        if self.last or not self.idle():
+            return self.last and not self.left
         try:
             return not self.sock.recv(1, socket.MSG_PEEK)
         except OSError:  # nothing there, or the connection broken
@@ -258,7 +289,9 @@
         if self.closed:
             return
         self.closed = True
+        self.release()
         self.balancer.clients.discard(self)
+        self.balancer.strangers.pop(self, None)
         anyio.notify_closing(self.sock)
         self.sock.close()
         if task := self.task:
--- a/whinpier/net/config.py
+++ b/whinpier/net/config.py
@@ -50,6 +50,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory: int  # bytes
     known: list[Entry]
     seq: int | None
     settings: dict[str, Any]
@@ -195,6 +196,9 @@
         discovery=address(given["discovery"], "discovery"), seed=seed,
         # 1,024 is what a process may usually hold; fewer than 64 leave nothing to work with.
         sockets=checked({"limits.sockets": limits.get("sockets", 1024)}, "limits.sockets", int, 1024, 64),
+        # A lean deployment's share, where none is told; below 16 MB nothing like this starts.
+        memory=checked({"limits.memory_mb": limits.get("memory_mb", 192)},
+                       "limits.memory_mb", int, 192, 16) << 20,
         known=entries(known.get("hosts", [])),
         seq=known.get("seq") if isinstance(known.get("seq"), int) else None,
         settings=found, workloads=workloads, zones=names(found, "failure_domains"),
--- a/whinpier/net/upstreams.py
+++ b/whinpier/net/upstreams.py
@@ -28,7 +28,7 @@
 # All that the parser needs to know of a task: that an answer is due. The task is written as it came, since
 # building it by h11 costs over twice as much.
 DUE = h11.Request(method="GET", target="/", headers=[("host", "upstream")])
-INTERIM = 8  # interim answers to one task: more are rubbish
+INTERIM = 64  # interim answers to one task: more are rubbish
 # A kept connection is let go at half its idle limit: the other side may close it any time from then on, and
 # what is written to one just closed may have run.
 KEEP = 0.5
@@ -55,16 +55,18 @@
         turned_away = self.status in (503, 504) and self.header(b"x-turned-away") == b"1"
         return FULL if turned_away else ERROR
 
-    def load(self) -> dict[str, float] | None:
-        """The load report, where one came with it, by our names."""
+    def load(self, columns: list[str]) -> dict[str, float] | None:
+        """The load report, where one came with it, by our names; of what the settings promise."""
         found: dict[str, float] = {}
+        if not columns:
+            return None
         for part in (self.header(b"x-pressure") or b"").decode("latin-1").split(","):
             name, _, text = part.strip().partition("=")
             try:
                 figure = float(text)
             except ValueError:
                 continue
-            if 0.0 <= figure < float("inf"):
+            if 0.0 <= figure < 1e9 and COLUMNS.get(name, name) in columns:
                 found[COLUMNS.get(name, name)] = figure
         return found or None
 
@@ -119,11 +121,11 @@
         """A connection can take a hand-off."""
         if self.state != READY or link.address != self.address:
             link.close()
-        elif self.waiting:
-            link.start(self.waiting.popleft())
-        else:
-            link.since = self.balancer.clock()
-            self.idle.append(link)
+            return
+        link.since = self.balancer.clock()
+        self.idle.append(link)
+        if self.waiting:
+            self.send(self.waiting.popleft())
 
     def not_opened(self) -> None:
         """A connection did not come up: whoever waited for it longest has its outcome."""
@@ -161,7 +163,7 @@
         self.sending: Sending | None = None
         self.answer = Answer()
         self.left = memoryview(b"")
-        self.since, self.up, self.closed = 0, False, False
+        self.since, self.up, self.ending, self.closed = 0, False, False, False
 
     async def run(self) -> None:
         """Connect, then take in what comes until the connection ends."""
@@ -200,7 +202,7 @@
         """Write a hand-off; what the socket does not take at once goes out as it can."""
         log.must(self.sending is None and not self.closed, "a connection carries one task at a time")
         log.must(sending.outcome is None, "what has its outcome is not sent")
-        self.sending, sending.link, self.answer = sending, self, Answer()
+        self.sending, sending.link, self.answer, self.ending = sending, self, Answer(), False
         asked = sending.asked
         remaining = max(0, asked.ends - self.balancer.clock()) / SECOND
         try:
@@ -225,21 +227,48 @@
         if self.sending is None:
             self.close()  # it has ended, or sends what nobody asked for
             return
+        sending = self.sending
         try:
-            while not self.closed and self.take(self.parser.next_event()):
-                pass
+            more = True
+            while more:
+                if self.parser.their_state is h11.SEND_RESPONSE:
+                    buffers.check_lines(self.parser)
+                more = self.take(self.parser.next_event())
         except h11.RemoteProtocolError as fault:
-            log.warn("upstream_rubbish", upstream=self.server.id, fault=fault)
-            self.close()
+            self.spoilt(fault)
+            return
+        begun = self.parser.their_state is not h11.SEND_RESPONSE or self.parser.trailing_data[0]
+        if self.sending is sending and begun and not self.ending:
+            self.ending = True
+            self.balancer.at(self.balancer.clock() + self.balancer.config.connect_limit, self.stuck, sending)
+
+    def stuck(self, sending: Sending) -> None:
+        """Guards against heads and bodies that never end: what has begun to come is whole in a moment."""
+        if self.sending is sending:
+            self.read()
+        if self.sending is sending:
+            self.spoilt("an answer that does not end")
+
+    def spoilt(self, why: object) -> None:
+        """What came is no answer, yet the upstream is there: an error that may have done the task."""
+        log.warn("upstream_rubbish", upstream=self.server.id, fault=why)
+        sending, written = self.sending, not self.left
+        self.give_up()
+        if sending:
+            self.balancer.settle(sending, ERROR if written else NO_CONNECTION)
 
     def take(self, event: object) -> bool:
         """One piece of an answer; False when there is no more for now."""
         answer = self.answer
         if isinstance(event, h11.Response):
             answer.status, answer.headers = event.status_code, list(event.headers)
+            buffers.check_framing(answer.headers, event.http_version)
             framed = answer.header(b"content-length") or answer.header(b"transfer-encoding")
             if answer.status == 200 and framed is None:
                 raise h11.RemoteProtocolError("a body whose end can't be told from a break")
+            length = answer.header(b"content-length") or b"0"
+            if len(length) > 9 or int(length) > BODY:
+                raise h11.RemoteProtocolError("body too large")
         elif isinstance(event, h11.InformationalResponse):
             answer.interim += 1
             if answer.interim > INTERIM:
