--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -42,7 +42,9 @@
 BODIES = 16  # one part in so many of the memory is for bodies; usual ones are a hundredth of that
 BACKLOG = 1024
 MARGIN = SECOND // 200  # a way to the client, five times over, where the loop is in time
-MOST_LATE = SECOND // 20  # as late as the rules let an answer be
+MOST_LATE = SECOND // 10  # a fifth of the agreed times that deployments have had
+JUDGED = SECOND // 20  # between looks at it; a late loop looks once a turn
+MORE, LESS, MOST_SHED = 0.1, 0.02, 0.95  # steps of the part turned back at the door: down slower than up
 FORGET = 5 * SECOND  # a burst of work comes back within seconds, or is over
 MS = SECOND // 1000
 
@@ -76,7 +78,7 @@
         self.connections = config.sockets - SPARE - self.door
         self.most_clients = int(PART * self.connections)
         self.lag, self.late, self.late_at = 0, 0, self.now  # since the last figures; of late
-        self.overrun = False  # later than a margin can make good: what comes now is turned back at the door
+        self.shed, self.judged = 0.0, self.now  # the part of tasks turned back at the door; when last judged
         self.stopped, self.collect_from = 0, 0
         self.choice = Choice(self, config.settings, config.workloads, config.seed)
         self.discovery = Discovery(config, self.told, self.choice.split.random)
@@ -129,7 +131,12 @@
         self.lag = max(self.lag, lag)
         now = self.clock()
         self.late = max(lag, self.late * max(0, FORGET - (now - self.late_at)) // FORGET)
-        self.late_at, self.overrun = now, lag > MOST_LATE
+        self.late_at = now
+        if now - self.judged >= JUDGED:
+            # Guards against a core that is full: were all turned back while the loop is late, those that come
+            # again at once would keep it late, and nothing would be served.
+            self.judged = now
+            self.shed = min(self.shed + MORE, MOST_SHED) if lag > MOST_LATE else max(self.shed - LESS, 0.0)
 
     def margin(self) -> int:
         """How long before its client gives up a task is over here."""
@@ -315,7 +322,9 @@
         return len(self.clients) - len(self.strangers) > 0.9 * self.most_clients
 
     def no_room(self) -> bool:
-        """Whether a task is turned back at the door: there are more clients than may be served."""
+        """Whether a task is turned back at the door: more clients than may be served, or the core is full."""
+        if self.shed and self.choice.split.random() < self.shed:
+            return True
         return len(self.clients) > self.most_clients and self.out >= self.connections - self.most_clients
 
     def make_room(self) -> bool:
@@ -358,7 +367,7 @@
         client = Client(self, sock)
         self.clients.add(client)
         self.strangers[client] = None
-        self.spawn(client.run, client.close)
+        client.watch()
         return True
 
     def roomier(self) -> None:
--- a/whinpier/net/buffers.py
+++ b/whinpier/net/buffers.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 import socket
 from typing import TYPE_CHECKING, cast
@@ -12,6 +13,8 @@
 import anyio
 import h11
 
+from whinpier.net import log
+
 if TYPE_CHECKING:
     from whinpier.net.balancer import Balancer
 
@@ -80,6 +83,7 @@
     sock: socket.socket
     left: memoryview  # of what is written, what the socket has not taken yet
     closed: bool
+    loop: asyncio.AbstractEventLoop | None = None
 
     def read(self) -> None:
         raise NotImplementedError
@@ -87,10 +91,25 @@
     def close(self) -> None:
         raise NotImplementedError
 
-    async def take_in(self) -> None:
-        while not self.closed:
-            await anyio.wait_readable(self.sock)
+    def watch(self) -> None:
+        """Have what comes read as it comes, until the connection ends."""
+        # anyio.wait_readable tells the system anew for each read, and wakes a task: a fifth of all work.
+        self.loop = asyncio.get_running_loop()
+        self.loop.add_reader(self.sock, self.came)
+
+    def came(self) -> None:
+        try:
             self.read()
+        except Exception:  # a fault ends the connection, never the process
+            log.fault("network_fault")
+            self.close()
+
+    def hang_up(self) -> None:
+        """Let go of the socket."""
+        if self.loop:
+            self.loop.remove_reader(self.sock)
+        anyio.notify_closing(self.sock)
+        self.sock.close()
 
     def write(self, data: bytes) -> None:
         self.left = memoryview(data)
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -13,7 +13,6 @@
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
-import anyio
 import h11
 
 from whinpier.decay import SECOND
@@ -81,15 +80,6 @@
         self.left = memoryview(b"")
         self.reading, self.begun, self.last, self.closed = False, False, False, False
 
-    async def run(self) -> None:
-        """Take in what comes until the connection ends."""
-        try:
-            await self.take_in()
-        except (OSError, anyio.ClosedResourceError):
-            pass
-        finally:
-            self.close()
-
     def read(self) -> None:
         try:
             count = buffers.discard(self.sock) if self.last else buffers.feed(self.parser, self.sock)
@@ -162,7 +152,7 @@
             log.counts["came_too_late"] += 1
             self.answer(504, b"too late\n")
             return
-        if self.balancer.no_room() or self.balancer.overrun:
+        if self.balancer.no_room():
             log.counts["turned_back_at_the_door"] += 1
             self.answer(503, b"turned back\n", retry_after(task.workload.agreed_time // 4))
             return
@@ -292,8 +282,7 @@
         self.release()
         self.balancer.clients.discard(self)
         self.balancer.strangers.pop(self, None)
-        anyio.notify_closing(self.sock)
-        self.sock.close()
+        self.hang_up()
         if task := self.task:
             self.task = None
             self.balancer.client_left(task)
--- a/whinpier/net/upstreams.py
+++ b/whinpier/net/upstreams.py
@@ -25,6 +25,8 @@
     from whinpier.net.clients import Asked
 
 BODY = 64 * 1024  # the largest body, by the protocol
+# Of an answer: upstreams have been met whose good ones are six times what the protocol says.
+ANSWER = 1024 * 1024
 # All that the parser needs to know of a task: that an answer is due. The task is written as it came, since
 # building it by h11 costs over twice as much.
 DUE = h11.Request(method="GET", target="/", headers=[("host", "upstream")])
@@ -163,24 +165,22 @@
         self.sending: Sending | None = None
         self.answer = Answer()
         self.left = memoryview(b"")
-        self.since, self.up, self.ending, self.closed = 0, False, False, False
+        self.since, self.moved, self.up, self.closed = 0, 0, False, False
 
     async def run(self) -> None:
-        """Connect, then take in what comes until the connection ends."""
+        """Connect; what comes from then on is read as it comes."""
         try:
             self.balancer.at(self.balancer.clock() + self.balancer.config.connect_limit, self.late)
-            if self.sock.connect_ex(self.address) not in (0, errno.EINPROGRESS):
-                return
-            await anyio.wait_writable(self.sock)
-            if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                return
-            self.up, self.server.opening = True, self.server.opening - 1
-            self.server.free(self)
-            await self.take_in()
+            if self.sock.connect_ex(self.address) in (0, errno.EINPROGRESS):
+                await anyio.wait_writable(self.sock)
+                if not self.closed and not self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                    self.up, self.server.opening = True, self.server.opening - 1
+                    self.watch()
+                    self.server.free(self)
+                    return
         except (OSError, anyio.ClosedResourceError):
             pass
-        finally:
-            self.close()
+        self.close()
 
     def late(self) -> None:
         if not self.up:
@@ -202,7 +202,7 @@
         """Write a hand-off; what the socket does not take at once goes out as it can."""
         log.must(self.sending is None and not self.closed, "a connection carries one task at a time")
         log.must(sending.outcome is None, "what has its outcome is not sent")
-        self.sending, sending.link, self.answer, self.ending = sending, self, Answer(), False
+        self.sending, sending.link, self.answer, self.moved = sending, self, Answer(), 0
         asked = sending.asked
         remaining = max(0, asked.ends - self.balancer.clock()) / SECOND
         try:
@@ -238,15 +238,20 @@
             self.spoilt(fault)
             return
         begun = self.parser.their_state is not h11.SEND_RESPONSE or self.parser.trailing_data[0]
-        if self.sending is sending and begun and not self.ending:
-            self.ending = True
-            self.balancer.at(self.balancer.clock() + self.balancer.config.connect_limit, self.stuck, sending)
+        if self.sending is sending and begun:
+            first, self.moved = not self.moved, self.balancer.clock()
+            if first:
+                self.balancer.at(self.moved + self.balancer.config.connect_limit, self.stuck, sending)
 
     def stuck(self, sending: Sending) -> None:
-        """Guards against heads and bodies that never end: what has begun to come is whole in a moment."""
-        if self.sending is sending:
-            self.read()
-        if self.sending is sending:
+        """Guards against heads and bodies that never end: what has begun to come goes on coming."""
+        if self.sending is not sending:
+            return
+        self.read()  # a late loop may not have come to it
+        ends = self.moved + self.balancer.config.connect_limit
+        if self.sending is sending and ends > self.balancer.clock():
+            self.balancer.at(ends, self.stuck, sending)
+        elif self.sending is sending:
             self.spoilt("an answer that does not end")
 
     def spoilt(self, why: object) -> None:
@@ -267,15 +272,16 @@
             if answer.status == 200 and framed is None:
                 raise h11.RemoteProtocolError("a body whose end can't be told from a break")
             length = answer.header(b"content-length") or b"0"
-            if len(length) > 9 or int(length) > BODY:
-                raise h11.RemoteProtocolError("body too large")
+            if len(length) > 9 or int(length) > ANSWER:
+                raise h11.RemoteProtocolError("a body of %s bytes" % length.decode())
         elif isinstance(event, h11.InformationalResponse):
             answer.interim += 1
             if answer.interim > INTERIM:
                 raise h11.RemoteProtocolError("too many interim answers")
         elif isinstance(event, h11.Data):
             answer.size += len(event.data)
-            if answer.size > BODY:
+            self.balancer.bodies += len(event.data)
+            if answer.size > ANSWER or self.balancer.bodies > 2 * self.balancer.most_bodies:
                 raise h11.RemoteProtocolError("body too large")
             answer.parts.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
@@ -291,6 +297,7 @@
         """An answer is whole: the connection is free again before its outcome is told."""
         sending, answer, self.sending = self.sending, self.answer, None
         assert sending is not None
+        self.balancer.bodies -= answer.size
         sending.link = None
         outcome = answer.outcome()
         if self.left and outcome != FULL:
@@ -312,12 +319,12 @@
         self.balancer.links.discard(self)
         if self in self.server.idle:
             self.server.idle.remove(self)
-        anyio.notify_closing(self.sock)
-        self.sock.close()
+        self.hang_up()
         if not self.up:
             self.server.opening -= 1
             self.server.not_opened()
         if sending := self.sending:
+            self.balancer.bodies -= self.answer.size
             self.sending = sending.link = None
             self.balancer.settle(sending, NO_CONNECTION if self.left else RESET)
         self.balancer.roomier()
@@ -325,5 +332,6 @@
     def give_up(self) -> None:
         """Close without an outcome: whoever gives up tells it."""
         if sending := self.sending:
+            self.balancer.bodies -= self.answer.size
             self.sending = sending.link = None
         self.close()
