--- a/whinpier/net/buffers.py
+++ b/whinpier/net/buffers.py
@@ -8,7 +8,7 @@
 import asyncio
 import re
 import socket
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 import anyio
 import h11
@@ -25,6 +25,13 @@
 # that stands alone, and a line folded onto the one before.
 TWO_WAYS = re.compile(rb"(?<!\r)\n|\r(?!\n|\Z)|\r\n[ \t]")
 
+# A head in its plainest form: visible characters and spaces, and no line feed but at a line's end.
+FIELDS = rb"(?:[-!#$%&'*+.^_`|~0-9A-Za-z]+:[ -~]*\r\n)+\r\n"
+REQUEST = re.compile(rb"([A-Z]+) (/[!-~]*) HTTP/1\.1\r\n" + FIELDS)
+ANSWER = re.compile(rb"HTTP/1\.1 (200|50[0-4])(?: [ -~]*)?\r\n" + FIELDS)
+UNUSUAL = frozenset((b"transfer-encoding", b"expect", b"upgrade", b"trailer"))
+HEAD = 16 * 1024  # bytes of a head at most, as for the parser
+
 _spare: list[bytearray] = []
 
 
@@ -37,18 +44,36 @@
         _spare.append(buffer)
 
 
-def feed(parser: h11.Connection, sock: socket.socket) -> int:
-    """Give a parser what has come on a socket, and say how much; 0 at its end."""
+def receive(sock: socket.socket) -> bytes:
+    """What has come on a socket; nothing at its end."""
     buffer = take()
     try:
         count = sock.recv_into(buffer)
-        # The parser copies what it is given, so the buffer can go back at once.
-        parser.receive_data(cast(bytes, memoryview(buffer)[:count]))
-        return count
+        return bytes(memoryview(buffer)[:count])
     finally:
         give(buffer)
 
 
+def plain(form: re.Pattern[bytes],
+          data: bytes) -> tuple[re.Match[bytes], list[tuple[bytes, bytes]], bytes] | None:
+    """Start line, headers and body of a message in its plainest form, whole and alone; None of any other.
+
+    Nothing is refused here: what is in any way unusual is for the parser to judge.
+    """
+    found = form.match(data)
+    if not found or found.end() > HEAD:
+        return None
+    lines = (line.partition(b":") for line in found[0].split(b"\r\n")[1:-2])
+    headers = [(name.lower(), value.strip(b" ")) for name, _, value in lines]
+    fields, body = dict(headers), data[found.end():]
+    length = fields.get(b"content-length", b"0")
+    if (len(fields) < len(headers) or not UNUSUAL.isdisjoint(fields)
+            or fields.get(b"connection", b"keep-alive") != b"keep-alive"
+            or not length.isdigit() or len(length) > 9 or int(length) != len(body)):
+        return None
+    return found, headers, body
+
+
 def check_lines(parser: h11.Connection) -> None:
     """Refuse a head whose lines can be read two ways. To be asked before the parser takes the head."""
     ahead = parser.trailing_data[0]
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -79,27 +79,56 @@
         self.task: Asked | None = None
         self.left = memoryview(b"")
         self.reading, self.begun, self.last, self.closed = False, False, False, False
+        self.plain = False  # what is asked for did not need the parser
 
     def read(self) -> None:
         try:
-            count = buffers.discard(self.sock) if self.last else buffers.feed(self.parser, self.sock)
+            data = buffers.receive(self.sock)
         except BlockingIOError:
             return
         except OSError:
-            count = 0
+            data = b""
         if self.last:
-            self.spilt += count
-        if not count or self.spilt > SPILL:
+            self.spilt += len(data)
+        if not data or self.spilt > SPILL:
             self.close()
         elif self.task is None and not self.last:
-            if not self.reading:
-                self.reading = True
-                if self not in self.balancer.strangers:  # their time runs from when they came
-                    self.since = self.balancer.clock()
-            self.parse()
-        elif len(self.parser.trailing_data[0]) > AHEAD:
-            log.warn("client_floods")
-            self.close()
+            fresh, self.reading = not self.reading, True
+            if fresh and self not in self.balancer.strangers:  # their time runs from when they came
+                self.since = self.balancer.clock()
+            if not (fresh and self.take_plain(data)):
+                self.parser.receive_data(data)
+                self.parse()
+        elif not self.last:
+            self.parser.receive_data(data)
+            if len(self.parser.trailing_data[0]) > AHEAD:
+                log.warn("client_floods")
+                self.close()
+
+    def take_plain(self, data: bytes) -> bool:
+        """Take in a request that has come whole and alone, in the plainest form; False for any other."""
+        # Guards against a full core: reading a request by h11 costs as much as all decisions on it.
+        found = None if self.parser.trailing_data[0] else buffers.plain(buffers.REQUEST, data)
+        if found is None or not any(name == b"host" for name, _ in found[1]):
+            return False
+        start, self.headers, body = found
+        self.method, self.target, self.parts = start[1], start[2], []
+        self.reading, self.plain = False, True
+        try:
+            self.take_body(body)
+            self.request()
+        except BadRequest as bad:
+            self.refuse(bad)
+        return True
+
+    def take_body(self, data: bytes) -> None:
+        self.size += len(data)
+        self.balancer.bodies += len(data)
+        if self.size > BODY:
+            raise BadRequest(413, "body too large")
+        if self.balancer.bodies > self.balancer.most_bodies:
+            raise BadRequest(503, "too many bodies at once")
+        self.parts.append(data)
 
     def parse(self) -> None:
         """Take in requests as far as they have come; one at a time is worked on."""
@@ -111,13 +140,7 @@
                 if isinstance(event, h11.Request):
                     self.begin(event)
                 elif isinstance(event, h11.Data):
-                    self.size += len(event.data)
-                    self.balancer.bodies += len(event.data)
-                    if self.size > BODY:
-                        raise BadRequest(413, "body too large")
-                    self.parts.append(bytes(event.data))
-                    if self.balancer.bodies > self.balancer.most_bodies:
-                        raise BadRequest(503, "too many bodies at once")
+                    self.take_body(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage):
                     self.reading = self.begun = False
                     self.request()
@@ -212,7 +235,7 @@
         self.release()
         self.last = last or self.balancer.stopping or self.balancer.crowded()
         # Where the client ends its connection, or has not sent its request whole, nothing can follow.
-        self.last = self.last or self.parser.their_state is not h11.DONE
+        self.last = self.last or not (self.plain or self.parser.their_state is h11.DONE)
         head = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b""))]
         head += [b"%s: %s\r\n" % pair for pair in headers or []]
         head.append(b"content-length: %d\r\n%s\r\n" % (len(body), b"connection: close\r\n" * self.last))
@@ -221,9 +244,12 @@
         if self.closed or self.last:
             return
         # A parser for each request: h11 only parses, as writing by it costs over twice as much.
-        ahead, self.parser = self.parser.trailing_data[0], h11.Connection(h11.SERVER)
+        ahead = self.parser.trailing_data[0]
+        if not self.plain:
+            self.parser = h11.Connection(h11.SERVER)
+            self.parser.receive_data(ahead) if ahead else None
+        self.plain = False
         if ahead:
-            self.parser.receive_data(ahead)
             self.balancer.enter(self.parse)  # it came ahead of its turn; from outside any decision
 
     def release(self) -> None:
--- a/whinpier/net/discovery.py
+++ b/whinpier/net/discovery.py
@@ -96,7 +96,7 @@
                             await anyio.wait_readable(self.sock)
                         if self.address != address:
                             raise ConnectionAbortedError("discovery has moved")
-                        buffers.feed(parser, self.sock)
+                        parser.receive_data(buffers.receive(self.sock))
                     elif isinstance(event, h11.Response):
                         begun = True
                         if event.status_code != 200:
--- a/whinpier/net/upstreams.py
+++ b/whinpier/net/upstreams.py
@@ -161,7 +161,7 @@
         self.server, self.balancer, self.address = server, server.balancer, server.address
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.parser = h11.Connection(h11.CLIENT)
+        self.parser: h11.Connection | None = None  # for answers that are in any way unusual
         self.sending: Sending | None = None
         self.answer = Answer()
         self.left = memoryview(b"")
@@ -205,39 +205,36 @@
         self.sending, sending.link, self.answer, self.moved = sending, self, Answer(), 0
         asked = sending.asked
         remaining = max(0, asked.ends - self.balancer.clock()) / SECOND
-        try:
-            self.parser.send(DUE)
-            self.parser.send(h11.EndOfMessage())
-        except h11.LocalProtocolError:
-            # Guards against a fault of ours inside a decision: it would leave that half done.
-            log.fault("task_not_written")
-            self.give_up()
-            self.balancer.settle(sending, MOOT)
-            return
         self.write(b"%sx-remaining: %.3f\r\n\r\n%s" % (asked.head, remaining, asked.body))
 
     def read(self) -> None:
         try:
-            buffers.feed(self.parser, self.sock)
+            data = buffers.receive(self.sock)
         except BlockingIOError:
             return
         except OSError:
-            self.close()
-            return
-        if self.sending is None:
+            data = b""
+        sending, parser = self.sending, self.parser
+        if not data or sending is None:
             self.close()  # it has ended, or sends what nobody asked for
             return
-        sending = self.sending
+        if parser is None:
+            if self.take_plain(data):
+                return
+            parser = self.parser = h11.Connection(h11.CLIENT)
+            parser.send(DUE)
+            parser.send(h11.EndOfMessage())
+        parser.receive_data(data)
         try:
             more = True
             while more:
-                if self.parser.their_state is h11.SEND_RESPONSE:
-                    buffers.check_lines(self.parser)
-                more = self.take(self.parser.next_event())
+                if parser.their_state is h11.SEND_RESPONSE:
+                    buffers.check_lines(parser)
+                more = self.take(parser.next_event())
         except h11.RemoteProtocolError as fault:
             self.spoilt(fault)
             return
-        begun = self.parser.their_state is not h11.SEND_RESPONSE or self.parser.trailing_data[0]
+        begun = parser.their_state is not h11.SEND_RESPONSE or parser.trailing_data[0]
         if self.sending is sending and begun:
             first, self.moved = not self.moved, self.balancer.clock()
             if first:
@@ -262,6 +259,18 @@
         if sending:
             self.balancer.settle(sending, ERROR if written else NO_CONNECTION)
 
+    def take_plain(self, data: bytes) -> bool:
+        """Take in an answer that has come whole and alone, in the plainest form; False for any other."""
+        answer, found = self.answer, buffers.plain(buffers.ANSWER, data)
+        if found is None:
+            return False
+        start, answer.headers, body = found
+        if answer.header(b"content-length") is None:
+            return False
+        answer.status, answer.parts = int(start[1]), [body]
+        self.finish(True)
+        return True
+
     def take(self, event: object) -> bool:
         """One piece of an answer; False when there is no more for now."""
         answer = self.answer
@@ -285,7 +294,10 @@
                 raise h11.RemoteProtocolError("body too large")
             answer.parts.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            self.finish()
+            parser = self.parser
+            # Guards against one task's surplus bytes passing for the next one's answer.
+            self.finish(parser is not None and not parser.trailing_data[0]
+                        and parser.their_state is h11.DONE and parser.our_state is h11.DONE)
             return False
         else:  # nothing more yet, or the connection has ended
             if event is not h11.NEED_DATA:
@@ -293,8 +305,8 @@
             return False
         return True
 
-    def finish(self) -> None:
-        """An answer is whole: the connection is free again before its outcome is told."""
+    def finish(self, clean: bool) -> None:
+        """An answer is whole: the connection, if it is clean, is free again before its outcome is told."""
         sending, answer, self.sending = self.sending, self.answer, None
         assert sending is not None
         self.balancer.bodies -= answer.size
@@ -302,10 +314,8 @@
         outcome = answer.outcome()
         if self.left and outcome != FULL:
             outcome = NO_CONNECTION  # an answer to what was not written whole
-        # Guards against one task's surplus bytes passing for the next one's answer.
-        clean = not self.left and not self.parser.trailing_data[0]
-        if clean and self.parser.their_state is h11.DONE and self.parser.our_state is h11.DONE:
-            self.parser.start_next_cycle()
+        self.parser = None
+        if clean and not self.left:
             self.server.free(self)
         else:
             self.close()
