--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -33,6 +33,7 @@
 STILL_COMING = 6 * SECOND // 10  # after SIGTERM new connections go on coming for up to 0.4 s
 # After SIGTERM nothing ends the process sooner than the longest patience and 0.7 s more. The last tenth of
 # that is for a late loop, and what comes before it for answering what is out, with no more taken.
+LONGEST = 3 * SECOND  # of a patience, as it counts for that
 AFTERWARDS, CLOSING = 6 * SECOND // 10, 4 * SECOND // 10
 START = SECOND  # to be told the list before the one that was known must do
 SWEEP = SECOND // 4  # between looks at what waits too long: what is owed within 3 s is given after 2
@@ -243,7 +244,7 @@
         # Guards against long stops of the loop: tasks and hand-offs point to each other, so that without this
         # they would pile up, of an age that only a full collection looks at.
         task.hand_offs.clear()
-        del self.ids[task.txn]
+        self.ids.pop(task.txn, None)
 
     def stop_waiting(self, hand_off: HandOff, outcome: str) -> None:
         assert isinstance(hand_off, Sending)
@@ -265,6 +266,9 @@
     def came_back(self, sending: Sending, outcome: str, answer: Answer | None) -> None:
         sending.outcome, sending.took = outcome, self.now - sending.sent
         log.counts["came_back_" + outcome.replace(" ", "_")] += 1
+        if outcome not in (FULFILLED, WITHDRAWN):
+            lane = sending.task.workload.name
+            log.note("not_fulfilled", upstream=sending.server.host, outcome=outcome, lane=lane)
         first = outcome == FULFILLED and not sending.task.ended
         if first and answer:
             headers = [pair for pair in answer.headers if pair[0] not in HOP]
@@ -292,7 +296,8 @@
                 held.pop(entry.host, None)
                 continue
             if server is None or (entry.started and entry.started != server.started):
-                server = Server(self, hashed(entry.host.encode()), entry.state, entry.started, entry.dial)
+                number = hashed(entry.host.encode())
+                server = Server(self, entry.host, number, entry.state, entry.started, entry.dial)
             server.state, server.cell, server.size = entry.state, entry.cell, entry.size
             server.zone = self.place(self.config.zones, entry.zone)
             server.shape = self.place(self.config.kinds, entry.shape)
@@ -412,8 +417,14 @@
         else:
             self.stopped = max(self.stopped, time.monotonic_ns() - self.collect_from)
 
+    def on_sockets(self) -> int:
+        """How many hand-offs are out, by the sockets: written, or waiting for a connection."""
+        return (sum(link.sending is not None for link in self.links)
+                + sum(len(server.waiting) for server in self.held.values()))
+
     def figures(self) -> None:
         self.at(self.clock() + FIGURES, self.figures)
+        log.must(self.on_sockets() == self.choice.split.total, "what is counted as out is out on a socket")
         log.say("figures", out=self.out, clients=len(self.clients), links=len(self.links),
                 alarms=len(self.alarms), lag_ms=self.lag // MS, collect_ms=self.stopped // MS,
                 cpu_s=round(time.process_time(), 2), **log.counts)
@@ -452,7 +463,11 @@
         """
         log.say("stopping", out=self.out, clients=len(self.clients))
         longest = max(workload.patience for workload in self.config.workloads)
-        self.stop_by = self.clock() + longest + AFTERWARDS
+        self.stop_by = self.clock() + min(longest, LONGEST) + AFTERWARDS
+        for task in list(self.ids.values()):
+            if task.ends > self.stop_by - self.margin():
+                task.ends = self.stop_by - self.margin()
+                self.at(task.ends, self.time_up, task)
         await anyio.sleep(STILL_COMING / SECOND)
         while self.clients and self.clock() < self.stop_by - CLOSING:
             await anyio.sleep(0.01)
--- a/whinpier/net/log.py
+++ b/whinpier/net/log.py
@@ -70,6 +70,11 @@
     _logger.info(event, extra={"pairs": pairs})
 
 
+def note(event: str, **pairs: Any) -> None:
+    """What is counted elsewhere: a few lines that say where it happens."""
+    _logger.warning(event, extra={"pairs": pairs})
+
+
 def warn(event: str, **pairs: Any) -> None:
     counts[event] += 1
     _logger.warning(event, extra={"pairs": pairs})
--- a/whinpier/net/upstreams.py
+++ b/whinpier/net/upstreams.py
@@ -86,9 +86,10 @@
 class Server(Upstream):
     """An upstream with its connections."""
 
-    def __init__(self, balancer: Balancer, number: int, state: str, started: int, address: Address) -> None:
+    def __init__(self, balancer: Balancer, host: str, number: int, state: str, started: int,
+                 address: Address) -> None:
         super().__init__(number, state, 0, 0, started)
-        self.balancer, self.address = balancer, address
+        self.balancer, self.host, self.address = balancer, host, address
         self.idle: list[Link] = []  # the one last used is used next, so that the others can go
         self.waiting: deque[Sending] = deque()  # hand-offs that wait for a connection
         self.opening = 0
@@ -253,7 +254,7 @@
 
     def spoilt(self, why: object) -> None:
         """What came is no answer, yet the upstream is there: an error that may have done the task."""
-        log.warn("upstream_rubbish", upstream=self.server.id, fault=why)
+        log.warn("upstream_rubbish", upstream=self.server.host, fault=why)
         sending, written = self.sending, not self.left
         self.give_up()
         if sending:
