--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -473,6 +473,17 @@
         assert all(sock.recv(1) == b"" for sock in silent) and time.monotonic() - began < 3
 
 
+def test_clients_that_ask_once_and_stay_are_let_go_before_they_hold_what_others_need(tmp_path):
+    with started(tmp_path, Upstream(good), sockets={"sockets": 256}) as bank:
+        stay = [bank.client() for _ in range(80)]  # they may hold 85
+        answers = [bank.charge(client=client) for client in stay]
+        assert {answer.status for answer in answers} == {200}
+        assert sum(answer.headers["Connection"] == "close" for answer in answers) > 10
+        began = time.monotonic()
+        assert all(client.sock is None or client.sock.recv(1) == b"" for client in stay)
+        assert time.monotonic() - began < 4
+
+
 def test_more_clients_than_descriptors_wait_their_turn(tmp_path):
     with started(tmp_path, Upstream(good), sockets={"sockets": 64}) as bank:
         answers = [bank.charge() for _ in range(100)]  # each on a connection that its client keeps
--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -41,6 +41,7 @@
 SPARE = 24  # descriptors kept back: the standard ones, listener, discovery, the loop's own; a dozen in all
 DOOR, MOST_DOOR = 8, 64  # one in so many, and the most, for clients turned back at the door: short bursts
 PART = 0.6  # of the rest for clients: each task needs one descriptor, and one more while it is out
+CROWD = 4  # clients that asked hold one descriptor in so many before they are let go early; they get a third
 UNUSED = SECOND // 10  # a connection idle for less may be about to be used again
 SILENT = SECOND // 20  # who has come asks at once: the way from a client, many times over
 BODIES = 16  # one part in so many of the memory is for bodies; usual ones are a hundredth of that
@@ -328,7 +329,9 @@
 
     def crowded(self) -> bool:
         """Whether clients had better not keep their connections: then room comes with every answer."""
-        return len(self.clients) - len(self.strangers) > 0.9 * self.most_clients
+        # Guards against clients that ask once and stay: they may hold a third of the descriptors in all, and
+        # while they do others have no connection left to ask on.
+        return len(self.clients) - len(self.strangers) > self.config.sockets // CROWD
 
     def no_room(self) -> bool:
         """Whether a task is turned back at the door: too many clients, the core is full, or it is the end."""
@@ -407,6 +410,12 @@
         self.at(now + SWEEP, self.sweep)
         for client in list(self.clients):
             client.sweep(now)
+        idle = sorted((client for client in self.clients if client.idle() and client.since < now - SWEEP
+                       and client not in self.strangers), key=lambda client: client.since)
+        for client in idle:
+            if not self.crowded():
+                break
+            client.read_last()
         for server in self.held.values():
             server.close_idle(server.oldest())
 
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -24,7 +24,7 @@
     from whinpier.net.balancer import Balancer
 
 HALF = 2 * SECOND  # from connecting or its first byte for a request to be whole, or for an answer to be taken
-IDLE = 10 * SECOND  # between requests; clients keep connections and take no harm from losing one
+IDLE = 5 * SECOND // 2  # between requests; some keep connections for good, none is harmed by a close
 LINGER = SECOND // 2  # for a client to take its last answer and close
 SPILL = 256 * 1024  # bytes to let pass unread meanwhile: a body just too large, not one of many megabytes
 AHEAD = 8 * 1024  # bytes behind a request that has no answer yet: some requests, not hundreds
