--- a/whinpier/net/buffers.py
+++ b/whinpier/net/buffers.py
@@ -1,6 +1,7 @@
-"""Owns how bytes pass a socket: buffers of one size, for one read each; what is left to write.
+"""Owns how bytes pass a socket: buffers of one size, one read each, how messages are framed, what is written.
 
-Must never hand out a buffer twice, keep more of them than a few reads need, or stop the loop to write.
+Must never hand out a buffer twice, keep more of them than a few reads need, stop the loop to write, or take
+for plain what the parser or the checks here would refuse.
 """
 
 from __future__ import annotations
@@ -92,15 +93,6 @@
         raise h11.RemoteProtocolError("a length and chunks")
 
 
-def discard(sock: socket.socket) -> int:
-    """Take what has come on a socket for nobody, and say how much; 0 at its end."""
-    buffer = take()
-    try:
-        return sock.recv_into(buffer)
-    finally:
-        give(buffer)
-
-
 class Connection:
     """What both sides do with a socket: take in what comes, write what it takes, and the rest as it can."""
 
