--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -13,7 +13,7 @@
 import socket
 import time
 from collections import Counter, deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
 from itertools import count as numbers, takewhile
 from typing import Any
@@ -340,7 +340,7 @@
         return len(self.clients) > self.most_clients and self.out >= self.connections - self.most_clients
 
     def make_room(self) -> bool:
-        """Whether one more connection may be opened: the longest idle ones make way, upstreams' first."""
+        """Whether one more connection may be opened: the longest idle ones make way, clients' first."""
         if self.full():
             self.let_go()
         if self.full():
@@ -360,12 +360,16 @@
         now = self.clock()
         done = (client for client in self.clients if client.last)
         silent = takewhile(lambda client: client.since < now - SILENT, self.strangers)
-        idle = (client for client in self.clients if client.idle() and client.since < now - UNUSED)
-        for group in (done, silent, iter(sorted(idle, key=lambda client: client.since))):
+        for group in (done, silent, self.longest_idle(now - UNUSED)):
             if client := next((client for client in group if client.unused()), None):
                 client.close()
                 return
 
+    def longest_idle(self, since: int) -> Iterator[Client]:
+        """Clients that have asked before and are idle since then or longer; sorted once one is wanted."""
+        yield from sorted((client for client in self.clients if client.idle() and client.since < since
+                           and client not in self.strangers), key=lambda client: client.since)
+
     def welcome(self, listener: socket.socket) -> bool:
         """Take one client in. One too many is only turned back: what waits unseen is lost in time."""
         if len(self.clients) >= self.most_clients:
@@ -410,11 +414,8 @@
         self.at(now + SWEEP, self.sweep)
         for client in list(self.clients):
             client.sweep(now)
-        idle = sorted((client for client in self.clients if client.idle() and client.since < now - SWEEP
-                       and client not in self.strangers), key=lambda client: client.since)
-        for client in idle:
-            if not self.crowded():
-                break
+        longest = self.longest_idle(now - SWEEP)
+        while self.crowded() and (client := next(longest, None)):
             client.read_last()
         for server in self.held.values():
             server.close_idle(server.oldest())
--- a/whinpier/net/buffers.py
+++ b/whinpier/net/buffers.py
@@ -121,6 +121,15 @@
             log.fault("network_fault")
             self.close()
 
+    def received(self) -> bytes | None:
+        """What has come: None where nothing has, no bytes where the connection has ended or is broken."""
+        try:
+            return receive(self.sock)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b""
+
     def hang_up(self) -> None:
         """Let go of the socket."""
         if self.loop:
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -82,12 +82,9 @@
         self.plain = False  # what is asked for did not need the parser
 
     def read(self) -> None:
-        try:
-            data = buffers.receive(self.sock)
-        except BlockingIOError:
+        data = self.received()
+        if data is None:
             return
-        except OSError:
-            data = b""
         if self.last:
             self.spilt += len(data)
         if not data or self.spilt > SPILL:
--- a/whinpier/net/upstreams.py
+++ b/whinpier/net/upstreams.py
@@ -209,12 +209,9 @@
         self.write(b"%sx-remaining: %.3f\r\n\r\n%s" % (asked.head, remaining, asked.body))
 
     def read(self) -> None:
-        try:
-            data = buffers.receive(self.sock)
-        except BlockingIOError:
+        data = self.received()
+        if data is None:
             return
-        except OSError:
-            data = b""
         sending, parser = self.sending, self.parser
         if not data or sending is None:
             self.close()  # it has ended, or sends what nobody asked for
@@ -308,10 +305,8 @@
 
     def finish(self, clean: bool) -> None:
         """An answer is whole: the connection, if it is clean, is free again before its outcome is told."""
-        sending, answer, self.sending = self.sending, self.answer, None
+        sending, answer = self.part(), self.answer
         assert sending is not None
-        self.balancer.bodies -= answer.size
-        sending.link = None
         outcome = answer.outcome()
         if self.left and outcome != FULL:
             outcome = NO_CONNECTION  # an answer to what was not written whole
@@ -322,6 +317,14 @@
             self.close()
         self.balancer.settle(sending, outcome, answer)
 
+    def part(self) -> Sending | None:
+        """Let go of the hand-off on it, whose answer counts no longer among the bodies."""
+        sending, self.sending = self.sending, None
+        if sending:
+            self.balancer.bodies -= self.answer.size
+            sending.link = None
+        return sending
+
     def close(self) -> None:
         """End the connection. A hand-off on it has its outcome by whether it was written whole."""
         if self.closed:
@@ -334,15 +337,11 @@
         if not self.up:
             self.server.opening -= 1
             self.server.not_opened()
-        if sending := self.sending:
-            self.balancer.bodies -= self.answer.size
-            self.sending = sending.link = None
+        if sending := self.part():
             self.balancer.settle(sending, NO_CONNECTION if self.left else RESET)
         self.balancer.roomier()
 
     def give_up(self) -> None:
         """Close without an outcome: whoever gives up tells it."""
-        if sending := self.sending:
-            self.balancer.bodies -= self.answer.size
-            self.sending = sending.link = None
+        self.part()
         self.close()
