--- a/whinpier/net/balancer.py
+++ b/whinpier/net/balancer.py
@@ -415,8 +415,8 @@
         for client in list(self.clients):
             client.sweep(now)
         longest = self.longest_idle(now - SWEEP)
-        while self.crowded() and (client := next(longest, None)):
-            client.read_last()
+        while self.crowded() and (idle := next(longest, None)):
+            idle.read_last()
         for server in self.held.values():
             server.close_idle(server.oldest())
 
