--- a/example/toy.py
+++ b/example/toy.py
@@ -22,6 +22,7 @@
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
     body = b""
+    gone = False  # whether whoever asked was seen to leave, by a behaviour that waits for it
 
     def setup(self) -> None:
         super().setup()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -286,7 +286,7 @@
         bank.raw(f"{HEAD}X-Txn: 1\r\nX-Remaining: 3\r\nContent-Length: 0\r\n\r\n".encode())
         until(bank.met)
         bank.clients[-1].close()
-        until(lambda: getattr(bank.met()[0], "gone", False))
+        until(lambda: bank.met()[0].gone)
 
 
 def test_what_drains_finishes_what_it_has_and_gets_nothing_new(tmp_path):
