--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from whinpier.net import log
+from whinpier import log
 
 GIVEN = json.loads(Path("example/config.json").read_text())
 
@@ -82,7 +82,7 @@
 
 @pytest.mark.parametrize("options, code", [([], 1), (["-O"], 0)])
 def test_what_must_hold_is_asserted_in_debug_builds_and_counted_in_release_builds(options, code):
-    text = "from whinpier.net import log; log.must(False, 'x'); print(log.counts['broken'])"
+    text = "from whinpier import log; log.must(False, 'x'); print(log.counts['broken'])"
     ended = subprocess.run([sys.executable, *options, "-c", text], capture_output=True, text=True, timeout=20)
     assert ended.returncode == code and ended.stdout == ("" if code else "1\n")
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -18,11 +18,12 @@
 
 from example.toy import Discovery, Upstream
 from whinpier.decay import SECOND
-from whinpier.net import log
-from whinpier.net.balancer import Balancer
+from whinpier import log
 from whinpier.net.clients import Asked
-from whinpier.net.config import read
+from whinpier.config.platform import changes, read
 from whinpier.net.upstreams import Sending
+from whinpier.net.wire import Http1
+from whinpier.runtime.life import Life
 
 GIVEN = json.loads(Path("example/config.json").read_text())
 HEAD = "POST /charge HTTP/1.1\r\nHost: a\r\n"
@@ -533,6 +534,16 @@
         assert bank.process.wait(LIMIT) == 0 and time.monotonic() - began < 2
 
 
+def life(spec):
+    """A balancer that runs in the test itself."""
+    return Life(spec, Http1(), lambda: spec, changes)
+
+
+def held(life):
+    """Its one pool."""
+    return life.pools["all"]
+
+
 @contextmanager
 def inside(folder, *upstreams):
     """A configuration and a listener for a balancer that runs in the test itself."""
@@ -542,7 +553,7 @@
         bank.process.wait()
         with socket.socket() as listener:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(config.listen)
+            listener.bind(config.listen[0])
             listener.listen()
             listener.setblocking(False)
             yield config, listener
@@ -553,8 +564,8 @@
 
     async def story(config, listener):
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(Balancer(config).serve, listener)
-            async with await anyio.connect_tcp(*config.listen) as client:
+            tasks.start_soon(life(config).serve, [listener])
+            async with await anyio.connect_tcp(*config.listen[0]) as client:
                 gc.disable()
                 try:
                     with anyio.fail_after(LIMIT):
@@ -575,32 +586,35 @@
     banks = [Upstream(lambda request: next(ways)(request)) for _ in range(3)]
 
     async def story(config, listener):
-        balancer, pictures = Balancer(config), []
+        balancer, pictures = life(config), []
+        pool = held(balancer)
 
         async def client(number):
             kind = ("charge", "settle")[number % 2]
             key = f"Idempotency-Key: {number}\r\n" * (number % 2)
             task = HEAD.replace("charge", kind) + f"X-Txn: {number}\r\nX-Remaining: 0.6\r\n{key}"
-            async with await anyio.connect_tcp(*config.listen) as stream:
+            async with await anyio.connect_tcp(*config.listen[0]) as stream:
                 await stream.send(f"{task}Content-Length: 2\r\n\r\n{{}}".encode())
                 if number % 5:  # each fifth leaves at once
                     await stream.receive()
-            split = balancer.choice.split
-            pictures.append((sum(seen.out for seen in split.ready), split.total, balancer.on_sockets()))
+            split = pool.choice.split
+            pictures.append((sum(seen.out for seen in split.ready), split.total, pool.on_wire()))
 
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(balancer.serve, listener)
+            tasks.start_soon(balancer.serve, [listener])
             with anyio.fail_after(LIMIT):
                 while not balancer.ready():
                     await anyio.sleep(0.01)
                 async with anyio.create_task_group() as clients:
                     for number in range(40):
                         clients.start_soon(client, number)
-                while balancer.ids or balancer.clients or balancer.choice.split.total:
+                while balancer.ids or balancer.front.clients or pool.choice.split.total:
                     await anyio.sleep(0.01)
             assert all(seen == total == sockets for seen, total, sockets in pictures)
-            assert (balancer.out, balancer.bodies, len(balancer.strangers)) == (0, 0, 0)
-            assert balancer.on_sockets() == 0 and all(seen.out == 0 for seen in balancer.choice.split.ready)
+            assert (pool.out, len(balancer.front.strangers)) == (0, 0)
+            part = pool.part
+            assert (part.tasks.used, part.bodies.used, part.requests.used) == (0, 0, 0)
+            assert pool.on_wire() == 0 and all(seen.out == 0 for seen in pool.choice.split.ready)
             tasks.cancel_scope.cancel()
 
     with inside(tmp_path, *banks) as (config, listener):
@@ -608,33 +622,38 @@
 
 
 def test_a_late_loop_ends_tasks_sooner_and_turns_back_a_part_of_what_comes_while_it_is_far_behind():
-    balancer = Balancer(read({"BALANCER_CONFIG": "example/config.json"}))
+    whole = life(read({"BALANCER_CONFIG": "example/config.json"}))
+    balancer, pool = whole.loop, held(whole)
+
+    def turned_back():
+        return whole.front.no_room(pool) or pool.part.tasks.give()
+
     at, at_ease = balancer.clock(), balancer.margin()
     balancer.clock = lambda: at
     balancer.behind(SECOND // 25)
-    assert balancer.margin() == at_ease + 2 * SECOND // 25 and not balancer.no_room()
+    assert balancer.margin() == at_ease + 2 * SECOND // 25 and not turned_back()
     for _ in range(100):
         at += SECOND // 5
         balancer.behind(SECOND)
-    turned_back = sum(balancer.no_room() for _ in range(1000))
-    assert balancer.margin() < SECOND // 2 and 800 < turned_back < 1000  # never all: those come again at once
+    part = sum(bool(turned_back()) for _ in range(1000))
+    assert balancer.margin() < SECOND // 2 and 800 < part < 1000  # never all: those come again at once
     for _ in range(100):
         at += SECOND // 5
         balancer.behind(0)
     at += 5 * SECOND
     balancer.behind(0)
-    assert balancer.margin() == at_ease and not any(balancer.no_room() for _ in range(100))
+    assert balancer.margin() == at_ease and not any(turned_back() for _ in range(100))
 
 
 def test_a_decision_that_fails_costs_its_task_and_no_more(tmp_path, monkeypatch):
     monkeypatch.setattr(log, "must", lambda holds, what: None)  # as in release builds
 
     async def story(config, listener):
-        balancer = Balancer(config)
-        balancer.choice.arrive = lambda task: 1 / 0
+        balancer = life(config)
+        held(balancer).choice.arrive = lambda task: 1 / 0
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(balancer.serve, listener)
-            async with await anyio.connect_tcp(*config.listen) as client:
+            tasks.start_soon(balancer.serve, [listener])
+            async with await anyio.connect_tcp(*config.listen[0]) as client:
                 for number in range(2):
                     task = f"{HEAD}X-Txn: {number}\r\nX-Remaining: 0.5\r\nContent-Length: 0\r\n\r\n"
                     await client.send(task.encode())
--- a/whinpier/__main__.py
+++ b/whinpier/__main__.py
@@ -6,39 +6,55 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable, Iterable
 
 import anyio
 
-from whinpier.net import log
-from whinpier.net.balancer import BACKLOG, Balancer
-from whinpier.net.config import Config, ConfigFault, read
+from whinpier import log
+from whinpier.config.platform import changes, read
+from whinpier.net.wire import Http1
+from whinpier.runtime.life import Life
+from whinpier.spec import ConfigFault, Spec
 
+BACKLOG = 1024
 
-async def run(listener: socket.socket, config: Config) -> None:
-    await Balancer(config).serve(listener)
 
+async def run(listeners: list[socket.socket], life: Life) -> None:
+    await life.serve(listeners)
 
-def main() -> int:
-    """0 after an ordered end, 1 where the address can't be had, 2 for a faulty configuration."""
+
+def start(reread: Callable[[], Spec], changed: Callable[[Spec, Spec], Iterable[str]]) -> int:
+    """0 after an ordered end, 1 where an address can't be had, 2 for a faulty configuration."""
     log.set_up()
     # Until the loop takes it over: a reload before that would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
-        config = read(os.environ)
+        spec = reread()
     except ConfigFault as fault:
         log.warn("configuration_fault", fault=fault)
         return 2
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as listener:
-        try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(config.listen)
-            listener.listen(BACKLOG)
-        except OSError as fault:
-            log.warn("cannot_listen", address="%s:%d" % config.listen, fault=fault)
-            return 1
-        anyio.run(run, listener, config)
+    listeners: list[socket.socket] = []
+    try:
+        for address in spec.listen:
+            listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            listeners.append(listener)
+            try:
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                listener.bind(address)
+                listener.listen(BACKLOG)
+            except OSError as fault:
+                log.warn("cannot_listen", address="%s:%d" % address, fault=fault)
+                return 1
+        anyio.run(run, listeners, Life(spec, Http1(), reread, changed))
+    finally:
+        for listener in listeners:
+            listener.close()
     return 0
 
 
+def main() -> int:
+    return start(lambda: read(os.environ), changes)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -43,7 +43,8 @@
 
     def __init__(self, upstream: Upstream, now: int, span: int) -> None:
         self.upstream, self.salt = upstream, upstream.id * 0x9E3779B97F4A7C15
-        self.due, self.answers, self.sends = Sum(span, now), Sum(span, now), Sum(WINDOW, now)
+        self.due, self.answers = Sum(span, now), Sum(span, now)
+        self.sends = upstream.sends or Sum(WINDOW, now)
         self.out, self.pull, self.silence, self.missing, self.at, self.heard = 0, 0.0, 0.0, 0.0, now, now
         self.share, self.part, self.room, self.shut_until = 0.0, 1.0, 1.0, 0
         self.given: float | None = None  # its rate, smoothed as its latency is
@@ -101,8 +102,15 @@
         self.choice, self.host = choice, choice.host
         self.held: dict[Workload, deque[Task]] = {workload: deque() for workload in choice.workloads}
         self.answered = Sum(2 * SECOND, self.host.now)  # follows a fleet that turns slow, not single tasks
+        self.configure(settings)
+
+    def configure(self, settings: dict[str, Any]) -> None:
         self.whole = float(settings.get("goal.whole", 1.0))
         self.worst = float(settings.get("goal.worst_class", 0.0))
+        self.most = int(settings.get("limits.held", 1 << 30))
+        # A workload that is no longer configured goes once nothing of it is held.
+        held = {workload: tasks for workload, tasks in self.held.items() if tasks}
+        self.held = held | {workload: self.held.get(workload, deque()) for workload in self.choice.workloads}
 
     def rank(self) -> None:
         """Order the workloads by what their tasks add for the work they cost, the worst served lifted."""
@@ -131,7 +139,8 @@
         # 20 ms before its client gives up at the latest, so that its answer is timely.
         task.held_until = min(task.came + int(self.HOLD * workload.agreed_time), task.ends - SECOND // 50)
         wait = task.held_until - now
-        if wait <= 0 or self.waiting(workload) > 3 + self.answered.rate(now) * wait / SECOND:
+        if (wait <= 0 or self.waiting(workload) > 3 + self.answered.rate(now) * wait / SECOND
+                or self.waiting() >= self.most):
             return self.choice.finish(task)
         self.held[workload].append(task)
         self.choice.wake(now + SECOND // 100)
@@ -171,12 +180,15 @@
 
     def __init__(self, choice: Choice, settings: dict[str, Any]) -> None:
         self.choice, self.host = choice, choice.host
-        self.most = int(settings.get("limits.max_hand_offs", 1))
-        self.second_copies = settings.get("limits.second_copies", False)
-        self.cancelling = settings.get("limits.cancelling", False)
         self.tasks, self.copies = Sum(5 * SECOND, self.host.now), Sum(5 * SECOND, self.host.now)
         self.due: list[tuple[int, int, HandOff]] = []
         self.number = numbers()
+        self.configure(settings)
+
+    def configure(self, settings: dict[str, Any]) -> None:
+        self.most = int(settings.get("limits.max_hand_offs", 1))
+        self.second_copies = settings.get("limits.second_copies", False)
+        self.cancelling = settings.get("limits.cancelling", False)
 
     def take(self, task: Task) -> str:
         return PASS if not task.hand_offs or self.allowed(task) else self.choice.finish(task)
@@ -263,11 +275,6 @@
         self.choice, self.host = choice, choice.host
         chance = Random(seed)
         self.random, self.pick = chance.random, chance.choice
-        self.balancers = max(1, int(settings.get("balancers", 1)))
-        self.number, self.zone = int(settings.get("slot_no", 0)), settings.get("zone", 0)
-        self.warm_keys = bool(settings.get("family_info.warm_keys", False))
-        self.cold_from = float(settings.get("rules.cold_from", 1.0))
-        self.cold = int(settings.get("rules.cold", 0))  # the time it takes to warm up
         self.ready: list[Seen] = []  # what is listed as ready, sorted
         self.pool: list[Seen] = []  # the part of it that this balancer keeps to
         self.drawn: list[Seen] = []  # those with a share
@@ -276,18 +283,27 @@
         self.ranks: dict[int, tuple[list[Seen], int]] = {}  # of a key, until the next solve: its upstreams
         self.span = 3 * SECOND
         self.arrived, self.went = Sum(self.span, self.host.now), Sum(WINDOW, self.host.now)
-        agreed = [workload.agreed_time / SECOND for workload in choice.workloads]
-        self.ease = min(agreed) / 5  # the least mean latency of late, in seconds; a start until it is known
-        self.crossing = float(settings.get("prices.cross_zone", 0.0)) * max(agreed)  # its price as time
+        self.ease = 0.0  # the least mean latency of late, in seconds
+        self.configure(settings)
         self.total, self.owed, self.usual_sends, self.sharing, self.crowded = 0, 0.0, 0.0, 1.0, False
 
+    def configure(self, settings: dict[str, Any]) -> None:
+        self.balancers = max(1, int(settings.get("balancers", 1)))
+        self.number, self.zone = int(settings.get("slot_no", 0)), settings.get("zone", 0)
+        self.warm_keys = bool(settings.get("family_info.warm_keys", False))
+        self.cold_from = float(settings.get("rules.cold_from", 1.0))
+        self.cold = int(settings.get("rules.cold", 0))  # the time it takes to warm up
+        agreed = [workload.agreed_time / SECOND for workload in self.choice.workloads]
+        self.ease = self.ease or min(agreed) / 5  # a start until it is known
+        self.crossing = float(settings.get("prices.cross_zone", 0.0)) * max(agreed)  # its price as time
+
     def listed(self, upstreams: list[Upstream]) -> None:
         """Follow the list: what drains or is missing gets nothing new from this moment on."""
         for upstream in upstreams:
             if upstream.seen is None:
                 seen = upstream.seen = Seen(upstream, self.host.now, self.span)
                 # Guards against hundreds of balancers that each send a fresh upstream its first task at once.
-                seen.sends.value = self.cold_bound(seen) + self.random() if self.ready else 0.0
+                seen.sends.value += self.cold_bound(seen) + self.random() if self.ready else 0.0
         ready = sorted((up.seen for up in upstreams if up.state == READY), key=lambda seen: seen.upstream.id)
         # Who joins a list is taken up by chance, so that it meets as many balancers as the others.
         part = self.want(len(ready)) / max(1, len(ready)) if self.ready else 0.0
@@ -509,6 +525,17 @@
         self.subscribe = settings.get("discovery") == "subscribe"  # asked for at the next solve
         host.alarm(host.now, SOLVE)
 
+    def change(self, settings: dict[str, Any], workloads: list[Workload]) -> None:
+        """Go on by other settings; what is known of upstreams, and of workloads that stay, is kept."""
+        self.workloads = workloads
+        for workload in workloads:
+            workload.known = workload.known or Known(workload, self.host.now)
+        for stage in (self.entry, self.again, self.split):
+            stage.configure(settings)
+        self.subscribe = self.subscribe or settings.get("discovery") == "subscribe"
+        self.split.solve()
+        self.entry.rank()
+
     def listed(self, upstreams: list[Upstream]) -> None:
         self.split.listed(upstreams)
         self.entry.release()
--- a/whinpier/net/config.py
+++ b/whinpier/config/platform.py
@@ -1,4 +1,4 @@
-"""The one place where the environment and the configuration file are read, checked and given defaults.
+"""The one place where the environment and the platform's file are read, checked and given defaults.
 
 Owns the names of keys, the units they come in and what is said about a faulty one. It is asked at the start
 and at each SIGHUP, by the same code. Must never let a fault through without the name of its key, wait for a
@@ -11,83 +11,15 @@
 import os
 import stat
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, fields
-from ipaddress import AddressValueError, IPv4Address
+from dataclasses import fields
 from math import isfinite
 from typing import Any
 
 from whinpier import settings as common
-from whinpier.model import DRAINING, GONE, READY, WireError, Workload
+from whinpier.model import WireError, Workload
+from whinpier.spec import PLATFORM, ConfigFault, PoolSpec, Spec, address, entries
 
-Address = tuple[str, int]
-STATES = {"up": READY, "draining": DRAINING, "removed": GONE}
 LARGEST = 8 * 1024 * 1024  # of the file: a list of thousands of upstreams and the settings are a tenth of it
-LATEST = 2**53  # milliseconds: what JSON numbers hold exactly; later times would only upset arithmetic
-
-
-class ConfigFault(Exception):
-    """What is configured cannot be used; the text names the key."""
-
-
-@dataclass(frozen=True, slots=True)
-class Entry:
-    """One upstream of the list, as `known` and discovery give it."""
-
-    host: str
-    dial: Address
-    state: str
-    zone: str
-    shape: str
-    cell: int
-    size: float
-    started: int
-
-
-@dataclass(frozen=True)
-class Config:
-    name: str
-    listen: Address
-    discovery: Address
-    seed: int
-    sockets: int
-    memory: int  # bytes
-    known: list[Entry]
-    seq: int | None
-    settings: dict[str, Any]
-    workloads: list[Workload]
-    zones: list[str]
-    kinds: list[str]
-    tenants: list[str]
-    connect_limit: int
-    idle_limit: int
-
-
-def address(text: Any, key: str) -> Address:
-    host, mark, port = str(text).rpartition(":")
-    if not (isinstance(text, str) and mark and host and port.isascii() and port.isdigit()
-            and 0 < int(port) < 65536):
-        raise ConfigFault(f"{key}: {text!r} is not HOST:PORT")
-    try:
-        # Guards against a name: looking it up would stop the loop at every connection.
-        return str(IPv4Address(host)), int(port)
-    except AddressValueError:
-        raise ConfigFault(f"{key}: {text!r} is no IPv4 address") from None
-
-
-def entries(hosts: Any) -> list[Entry]:
-    """The entries of a list, all or none."""
-    try:
-        found = [Entry(str(host["host"]), address(host["dial"], "dial"), STATES[host["health"]],
-                       str(host.get("site", "")), str(host.get("class", "")), int(host.get("block", 0)),
-                       float(host.get("share", 1.0)), int(host.get("born_ms", 0)) * 1_000_000)
-                 for host in hosts]
-        for entry in found:
-            latest = LATEST * 1_000_000
-            if not (isfinite(entry.size) and 0 <= entry.started < latest and abs(entry.cell) < LATEST):
-                raise ValueError(f"a figure of {entry.host!r} is out of bounds")
-        return found
-    except (ConfigFault, AttributeError, KeyError, TypeError, ValueError, OverflowError) as fault:
-        raise ConfigFault(f"hosts: {type(fault).__name__}: {fault}") from None
 
 
 def flat(value: Any, at: str = "") -> Iterator[tuple[str, Any]]:
@@ -156,7 +88,7 @@
     return json.loads(text)
 
 
-def read(environment: Mapping[str, str]) -> Config:
+def read(environment: Mapping[str, str]) -> Spec:
     """The configuration; the environment says what the file does not.
 
     The file goes first since it alone can be replaced under a running balancer: an address of discovery that
@@ -178,7 +110,7 @@
         raise ConfigFault(f"settings: {type(fault).__name__}: {fault}") from None
 
 
-def made(given: dict[str, Any], environment: Mapping[str, str]) -> Config:
+def made(given: dict[str, Any], environment: Mapping[str, str]) -> Spec:
     for key, variable in (("name", "BALANCER_NAME"), ("listen", "BALANCER_LISTEN"),
                           ("discovery", "BALANCER_DISCOVERY")):
         given[key] = given.get(key) or environment.get(variable)
@@ -191,26 +123,29 @@
         raise ConfigFault("settings: is missing")
     found = common.settings(flat(checked(given, "settings", dict, {})))
     workloads = check_settings(found)
-    return Config(
-        name=str(given["name"] or "balancer"), listen=address(given["listen"], "listen"),
-        discovery=address(given["discovery"], "discovery"), seed=seed,
+    pool = PoolSpec(
+        name=PLATFORM, settings=found, workloads=workloads, zones=names(found, "failure_domains"),
+        kinds=names(found, "kinds"), tenants=names(found, "orgs"),
+        # A quarter of a second and a minute are what the simulator's settings say where they are given.
+        connect_limit=found.get("limits.connect_timeout", 250_000_000),
+        idle_limit=found.get("limits.keepalive", 60_000_000_000),
+        discovery=address(given["discovery"], "discovery"), known=entries(known.get("hosts", [])),
+        seq=known.get("seq") if isinstance(known.get("seq"), int) else None,
+    )
+    return Spec(
+        name=str(given["name"] or "balancer"), listen=[address(given["listen"], "listen")], seed=seed,
         # 1,024 is what a process may usually hold; fewer than 64 leave nothing to work with.
         sockets=checked({"limits.sockets": limits.get("sockets", 1024)}, "limits.sockets", int, 1024, 64),
         # A lean deployment's share, where none is told; below 16 MB nothing like this starts.
         memory=checked({"limits.memory_mb": limits.get("memory_mb", 192)},
                        "limits.memory_mb", int, 192, 16) << 20,
-        known=entries(known.get("hosts", [])),
-        seq=known.get("seq") if isinstance(known.get("seq"), int) else None,
-        settings=found, workloads=workloads, zones=names(found, "failure_domains"),
-        kinds=names(found, "kinds"), tenants=names(found, "orgs"),
-        # A quarter of a second and a minute are what the simulator's settings say where they are given.
-        connect_limit=found.get("limits.connect_timeout", 250_000_000),
-        idle_limit=found.get("limits.keepalive", 60_000_000_000),
+        pools={PLATFORM: pool},
     )
 
 
-def changes(old: Config, new: Config) -> list[str]:
+def changes(old: Spec, new: Spec) -> list[str]:
     """Which keys a new configuration has otherwise. The seed and the list of `known` are for a start only."""
-    passed_over = ("seed", "known", "seq", "workloads")  # workloads are settings too
-    return [key.name for key in fields(Config)
-            if key.name not in passed_over and getattr(old, key.name) != getattr(new, key.name)]
+    passed_over = ("seed", "known", "seq", "workloads", "pools")  # workloads are settings too
+    pairs = ((old, new), (old.pools[PLATFORM], new.pools[PLATFORM]))
+    return [key.name for before, after in pairs for key in fields(before)
+            if key.name not in passed_over and getattr(before, key.name) != getattr(after, key.name)]
--- a/whinpier/model.py
+++ b/whinpier/model.py
@@ -50,6 +50,7 @@
     size: float = 1.0
     shape: int = 0
     seen: Any = None  # what the decisions have observed of it
+    sends: Any = None  # the sum of what goes to it, where other pools of this process send to it too
 
 
 @dataclass(slots=True, eq=False)
--- a/whinpier/net/buffers.py
+++ b/whinpier/net/buffers.py
@@ -9,15 +9,14 @@
 import asyncio
 import re
 import socket
-from typing import TYPE_CHECKING
+from time import perf_counter_ns
 
 import anyio
 import h11
 
-from whinpier.net import log
-
-if TYPE_CHECKING:
-    from whinpier.net.balancer import Balancer
+from whinpier import log
+from whinpier.runtime.budget import Part
+from whinpier.runtime.loop import Loop
 
 SIZE = 64 * 1024  # the largest body in one read; a body and its head seldom come in more than two
 KEPT = 8  # a read ends before the next begins: more than one is in use only where reads nest
@@ -96,11 +95,11 @@
 class Connection:
     """What both sides do with a socket: take in what comes, write what it takes, and the rest as it can."""
 
-    balancer: Balancer
+    loop: Loop
     sock: socket.socket
     left: memoryview  # of what is written, what the socket has not taken yet
     closed: bool
-    loop: asyncio.AbstractEventLoop | None = None
+    events: asyncio.AbstractEventLoop | None = None
 
     def read(self) -> None:
         raise NotImplementedError
@@ -108,11 +107,22 @@
     def close(self) -> None:
         raise NotImplementedError
 
-    def watch(self) -> None:
+    def pays(self) -> Part | None:
+        """Whose part of the CPU what it does counts for."""
+        return None
+
+    def watch(self, metered: bool) -> None:
         """Have what comes read as it comes, until the connection ends."""
         # anyio.wait_readable tells the system anew for each read, and wakes a task: a fifth of all work.
-        self.loop = asyncio.get_running_loop()
-        self.loop.add_reader(self.sock, self.came)
+        self.events = asyncio.get_running_loop()
+        self.events.add_reader(self.sock, self.came_metered if metered else self.came)
+
+    def came_metered(self) -> None:
+        """Several pools share the loop: count what each takes of it."""
+        begun = perf_counter_ns()
+        self.came()
+        if part := self.pays():
+            part.spent.add(self.loop.now, perf_counter_ns() - begun)
 
     def came(self) -> None:
         try:
@@ -132,8 +142,8 @@
 
     def hang_up(self) -> None:
         """Let go of the socket."""
-        if self.loop:
-            self.loop.remove_reader(self.sock)
+        if self.events:
+            self.events.remove_reader(self.sock)
         anyio.notify_closing(self.sock)
         self.sock.close()
 
@@ -141,7 +151,7 @@
         self.left = memoryview(data)
         self.flush()
         if self.left and not self.closed:
-            self.balancer.spawn(self.drain, self.close)
+            self.loop.spawn(self.drain, self.close)
 
     def flush(self) -> None:
         try:
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -1,12 +1,11 @@
 """Owns the connections of clients: reads their tasks, answers each once, notices who has left.
 
-The headers of clients are read here and nowhere else. Must never write an answer that the balancer did not
-give, a second one, or a turn-back of its own for a task that the decisions have seen.
+The headers of clients are read here and in `routes.py`, nowhere else. Must never write an answer that a pool
+did not give, a second one, or a turn-back of its own for a task that the decisions have seen.
 """
 
 from __future__ import annotations
 
-import hashlib
 import re
 import socket
 from http import HTTPStatus
@@ -15,13 +14,17 @@
 
 import h11
 
+from whinpier import log
 from whinpier.decay import SECOND
-from whinpier.model import EXCLUSIVE, RERUNNABLE, TICKETED, Task, Workload
-from whinpier.net import buffers, log
-from whinpier.net.upstreams import BODY, HOP
+from whinpier.model import Workload
+from whinpier.net import buffers
+from whinpier.net.routes import BadRequest, Target, fits
+from whinpier.net.upstreams import BODILESS, BODY, HOP, Answer, Http
+from whinpier.runtime.budget import Part
+from whinpier.runtime.pool import hashed
 
 if TYPE_CHECKING:
-    from whinpier.net.balancer import Balancer
+    from whinpier.net.door import Door
 
 HALF = 2 * SECOND  # from connecting or its first byte for a request to be whole, or for an answer to be taken
 IDLE = 5 * SECOND // 2  # between requests; some keep connections for good, none is harmed by a close
@@ -29,36 +32,35 @@
 SPILL = 256 * 1024  # bytes to let pass unread meanwhile: a body just too large, not one of many megabytes
 AHEAD = 8 * 1024  # bytes behind a request that has no answer yet: some requests, not hundreds
 NUMBER = re.compile(rb"[+-]?[0-9]{1,20}(\.[0-9]{0,20})?|[+-]?\.[0-9]{1,20}")
-ONCE = frozenset((b"x-txn", b"x-lane", b"x-remaining", b"idempotency-key", b"host"))  # of two, which holds?
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
-class BadRequest(Exception):
-    """A request that is no task; the text says why."""
-
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status = status
-
-
-class Asked(Task):
+class Asked(Http):
     """A task with the client that waits for it and what goes on to an upstream."""
 
-    __slots__ = ("client", "txn", "body", "head")
+    __slots__ = ("client",)
 
     def __init__(self, client: Client, workload: Workload, came: int, ends: int, txn: bytes) -> None:
-        super().__init__(client.balancer.next_id(), workload, came, ends)
-        self.client, self.txn, self.body = client, txn, b"".join(client.parts)
+        super().__init__(client.loop.next_id(), workload, came, ends)
+        self.client, self.id_given, self.body = client, txn, b"".join(client.parts)
         head = [b"%s %s HTTP/1.1\r\n" % (client.method, client.target)]
         head += [b"%s: %s\r\n" % pair for pair in client.headers if pair[0] not in HOP]
         if client.method != b"GET":
             head.append(b"content-length: %d\r\n" % len(self.body))
-        self.head = b"".join(head)  # but for what is left of its patience
+        self.head = b"".join(head)
+
+    def waited_for(self) -> bool:
+        return self.client.task is self
+
+    def fulfilled(self, answer: Answer) -> None:
+        headers = [pair for pair in answer.headers if pair[0] not in HOP]
+        self.client.answer(answer.status, b"".join(answer.parts), headers)
 
+    def turned_back(self, wait: int) -> None:
+        self.client.answer(503, b"turned back\n", retry_after(wait))
 
-def hashed(text: bytes) -> int:
-    """The same number for the same text at every balancer."""
-    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
+    def scrapped(self) -> None:
+        self.client.answer(502, b"not fulfilled\n")
 
 
 def retry_after(wait: int) -> list[tuple[bytes, bytes]]:
@@ -69,18 +71,23 @@
 class Client(buffers.Connection):
     """One connection of a client."""
 
-    def __init__(self, balancer: Balancer, sock: socket.socket) -> None:
-        self.balancer, self.sock = balancer, sock
+    def __init__(self, door: Door, sock: socket.socket) -> None:
+        self.door, self.loop, self.sock = door, door.loop, sock
         self.parser = h11.Connection(h11.SERVER)
         self.method, self.target, self.headers = b"", b"", list[tuple[bytes, bytes]]()
         self.parts: list[bytes] = []
         self.size, self.spilt = 0, 0  # bytes of its body; of what came behind its last answer
-        self.since = balancer.clock()  # since when it is here, is idle, is read, is answered for good
+        self.since = door.loop.clock()  # since when it is here, is idle, is read, is answered for good
         self.task: Asked | None = None
+        self.to: tuple[Target, Workload] | None = None  # where what is asked for goes
+        self.paid: Part | None = None  # whose bodies its own counts among
         self.left = memoryview(b"")
         self.reading, self.begun, self.last, self.closed = False, False, False, False
         self.plain = False  # what is asked for did not need the parser
 
+    def pays(self) -> Part | None:
+        return self.to[0].pool.part if self.to else None
+
     def read(self) -> None:
         data = self.received()
         if data is None:
@@ -91,8 +98,8 @@
             self.close()
         elif self.task is None and not self.last:
             fresh, self.reading = not self.reading, True
-            if fresh and self not in self.balancer.strangers:  # their time runs from when they came
-                self.since = self.balancer.clock()
+            if fresh and self not in self.door.strangers:  # their time runs from when they came
+                self.since = self.loop.clock()
             if not (fresh and self.take_plain(data)):
                 self.parser.receive_data(data)
                 self.parse()
@@ -112,19 +119,28 @@
         self.method, self.target, self.parts = start[1], start[2], []
         self.reading, self.plain = False, True
         try:
+            self.find_way()
             self.take_body(body)
             self.request()
         except BadRequest as bad:
             self.refuse(bad)
         return True
 
+    def find_way(self) -> None:
+        """Where it goes, by its head alone: what goes nowhere is refused before its body has come."""
+        up = self.target == self.door.up
+        self.to = None if up else self.door.router.route(self.method, self.target, self.headers)
+
     def take_body(self, data: bytes) -> None:
-        self.size += len(data)
-        self.balancer.bodies += len(data)
-        if self.size > BODY:
+        if not data:
+            return
+        if self.size + len(data) > BODY:
             raise BadRequest(413, "body too large")
-        if self.balancer.bodies > self.balancer.most_bodies:
+        if self.paid is None and self.to:
+            self.paid = self.to[0].pool.part
+        if self.paid is None or not self.paid.requests.take(len(data)):
             raise BadRequest(503, "too many bodies at once")
+        self.size += len(data)
         self.parts.append(data)
 
     def parse(self) -> None:
@@ -159,86 +175,83 @@
         length = next((value for name, value in self.headers if name == b"content-length"), b"0")
         if len(length) > 9 or int(length) > BODY:
             raise BadRequest(413, "body too large")
+        self.find_way()
 
     def request(self) -> None:
         """A whole request: a question of the front, or a task."""
-        self.balancer.strangers.pop(self, None)
-        if self.target == b"/up":
-            ready = self.balancer.ready()
+        self.door.strangers.pop(self, None)
+        if self.to is None:
+            ready = self.door.ready()
             self.answer(200 if ready else 503, b"up\n" if ready else b"starting\n")
             return
-        task = self.read_task()
-        if task.ends <= self.balancer.clock():
+        pool = self.to[0].pool
+        task = self.read_task(*self.to)
+        if task.ends <= self.loop.clock():
             log.counts["came_too_late"] += 1
             self.answer(504, b"too late\n")
             return
-        if self.balancer.no_room():
+        if self.door.no_room(pool):
             log.counts["turned_back_at_the_door"] += 1
             self.answer(503, b"turned back\n", retry_after(task.workload.agreed_time // 4))
             return
         self.task = task
-        self.balancer.take(task)
+        pool.take(task)
 
-    def read_task(self) -> Asked:
+    def read_task(self, target: Target, workload: Workload) -> Asked:
         """The task that a request stands for, with all that its headers say of it."""
-        headers, balancer = dict(self.headers), self.balancer
+        headers, door, fields = dict(self.headers), self.door, target.fields
         if len(headers) < len(self.headers):
             names = [name for name, _ in self.headers]
-            if any(names.count(name) > 1 for name in ONCE):
+            if any(names.count(name) > 1 for name in fields.once):
                 raise BadRequest(400, "a header that may come once came twice")
         if len(self.parser.trailing_data[0]) > AHEAD:
             raise BadRequest(400, "too many requests ahead of their turn")
-        path, _, query = self.target.partition(b"?")
-        lane = path.lstrip(b"/").partition(b"/")[0]
-        workload = balancer.lanes.get(lane)
-        if workload is None or headers.get(b"x-lane", lane) != lane:
-            raise BadRequest(404, f"no such lane: {lane!r}")
-        ticket = headers.get(b"idempotency-key")
-        if self.method != (b"GET" if workload.kind == RERUNNABLE else b"POST"):
-            raise BadRequest(405, f"{self.method!r} does not fit the lane")
-        if (workload.kind == TICKETED and not ticket or workload.kind == EXCLUSIVE and ticket
-                or workload.kind == RERUNNABLE and self.size):
-            raise BadRequest(400, "the lane's requests look otherwise")
-        txn = headers.get(b"x-txn")
-        if not txn:
-            raise BadRequest(400, "no X-Txn")
-        if txn in balancer.ids:
+        fits(self.method, target, workload, headers.get(fields.ticket), self.size)
+        txn = headers.get(fields.txn, b"")
+        if not txn and not fields.optional:
+            raise BadRequest(400, "no " + fields.txn.decode().title())
+        if txn in door.ids:
             # Guards against a second effect or another client's answer: an id is new with every request.
             raise BadRequest(409, "an X-Txn that another request has")
-        given = headers.get(b"x-remaining", b"")
-        if not NUMBER.fullmatch(given):
-            raise BadRequest(400, "no X-Remaining that can be read")
-        remaining = float(given)
-        came = balancer.clock()
-        ends = came + min(int(remaining * SECOND), workload.patience) - balancer.margin()
-        if balancer.stop_by:
-            ends = min(ends, balancer.stop_by - balancer.margin())
+        given = headers.get(fields.remaining)
+        patience = min(workload.patience, target.patience or workload.patience)
+        if given is not None or not fields.optional:
+            if given is None or not NUMBER.fullmatch(given):
+                raise BadRequest(400, f"no {fields.remaining.decode().title()} that can be read")
+            patience = min(int(float(given) * SECOND), patience)
+        came, margin = self.loop.clock(), self.loop.margin()
+        ends = came + patience - margin
+        if door.stop_by:
+            ends = min(ends, door.stop_by - margin)
         task = Asked(self, workload, came, ends, txn)
-        key = parse_qs(query).get(b"obj", [b""])[0] if query else b""
-        key = key or headers.get(b"x-entity", b"")
+        query = self.target.partition(b"?")[2]
+        key = parse_qs(query).get(fields.query_key, [b""])[0] if query else b""
+        key = key or headers.get(fields.key, b"")
         task.key = hashed(key) if key else 0
-        task.tenant = balancer.tenants.get(headers.get(b"x-org", b""), 0)
-        task.repeat = headers.get(b"x-resent") == b"1"
+        task.tenant = target.pool.tenants.get(headers.get(fields.tenant, b""), 0)
+        task.repeat = headers.get(fields.repeat) == b"1"
         return task
 
     def refuse(self, bad: BadRequest) -> None:
         """Answer what is no task, and end the connection."""
         log.warn("bad_request", status=bad.status, why=bad)
         self.reading = False
-        self.answer(bad.status, f"{bad}\n".encode("utf-8", "replace"), last=True)
+        self.answer(bad.status, f"{bad}\n".encode("utf-8", "replace"), bad.headers, last=bad.last)
 
     def answer(self, status: int, body: bytes, headers: list[tuple[bytes, bytes]] | None = None,
                last: bool = False) -> None:
         """Write the one answer to what was asked."""
         self.task = None
         self.release()
-        self.last = last or self.balancer.closing or self.balancer.crowded()
+        self.last = last or self.door.closing or self.door.crowded()
         # Where the client ends its connection, or has not sent its request whole, nothing can follow.
         self.last = self.last or not (self.plain or self.parser.their_state is h11.DONE)
         head = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b""))]
         head += [b"%s: %s\r\n" % pair for pair in headers or []]
-        head.append(b"content-length: %d\r\n%s\r\n" % (len(body), b"connection: close\r\n" * self.last))
-        self.since = self.balancer.clock()
+        if status not in BODILESS:
+            head.append(b"content-length: %d\r\n" % len(body))
+        head.append(b"connection: close\r\n\r\n" if self.last else b"\r\n")
+        self.since = self.loop.clock()
         self.put(b"".join((*head, body)))
         if self.closed or self.last:
             return
@@ -249,12 +262,13 @@
             self.parser.receive_data(ahead) if ahead else None
         self.plain = False
         if ahead:
-            self.balancer.enter(self.parse)  # it came ahead of its turn; from outside any decision
+            self.loop.enter(self.loop, self.parse)  # it came ahead of its turn; from outside any decision
 
     def release(self) -> None:
         """Its body counts no longer."""
-        self.balancer.bodies -= self.size
-        self.parts, self.size = [], 0
+        if self.paid:
+            self.paid.requests.give(self.size)
+        self.parts, self.size, self.paid = [], 0, None
 
     def put(self, data: bytes) -> None:
         if self.left:
@@ -279,7 +293,7 @@
             if waited > HALF:
                 log.warn("slow_client", reading=self.reading)
                 self.close() if self.left else self.refuse(BadRequest(408, "half a request"))
-        elif waited > (LINGER if self.last else HALF if self in self.balancer.strangers else IDLE):
+        elif waited > (LINGER if self.last else HALF if self in self.door.strangers else IDLE):
             self.close()
 
     def read_last(self) -> None:
@@ -305,10 +319,9 @@
             return
         self.closed = True
         self.release()
-        self.balancer.clients.discard(self)
-        self.balancer.strangers.pop(self, None)
+        self.door.gone(self)
         self.hang_up()
         if task := self.task:
             self.task = None
-            self.balancer.client_left(task)
-        self.balancer.roomier()
+            self.door.left(self, task)
+        self.door.roomier()
--- a/whinpier/net/discovery.py
+++ b/whinpier/net/discovery.py
@@ -12,8 +12,9 @@
 import anyio
 import h11
 
-from whinpier.net import buffers, log
-from whinpier.net.config import Address, Config, ConfigFault, Entry, entries
+from whinpier import log
+from whinpier.net import buffers
+from whinpier.spec import Address, ConfigFault, Entry, entries
 
 SILENCE = 2.5  # seconds: a line comes at least every 2, so that one is missing
 ANSWER = 1.0  # seconds to connect, and as long until an answer begins: it is on this machine
@@ -24,10 +25,10 @@
 class Discovery:
     """Follows the list."""
 
-    def __init__(self, config: Config, told: Callable[[list[Entry], bool], None],
-                 chance: Callable[[], float]) -> None:
-        self.address, self.told, self.chance = config.discovery, told, chance
-        self.seq = config.seq
+    def __init__(self, address: Address, seq: int | None, told: Callable[[list[Entry], bool], None],
+                 chance: Callable[[], float], tag: Callable[[], dict[str, str]]) -> None:
+        self.address, self.seq, self.told, self.chance, self.tag = address, seq, told, chance, tag
+        self.ended = False
         self.wanted = anyio.Event()
         self.following, self.once = False, False
         self.wait = FIRST
@@ -54,11 +55,18 @@
         self.address, self.seq, self.wait = address, None, FIRST
         self.hang_up()
 
+    def end(self) -> None:
+        """Follow it no longer, for good."""
+        self.ended = True
+        self.follow(False)
+        self.wake()
+
     async def run(self) -> None:
-        while True:
+        while not self.ended:
             if not (self.following or self.once):
                 self.wanted = anyio.Event()
                 await self.wanted.wait()
+                continue
             why: object = "ended"
             try:
                 if self.once or self.seq is None:
@@ -75,7 +83,9 @@
             except Exception as fault:  # whatever it was: without the list the balancer goes blind
                 log.fault("discovery_fault")
                 why = repr(fault)
-            log.warn("discovery_lost", why=why)
+            if self.ended:
+                return
+            log.warn("discovery_lost", **self.tag(), why=why)
             await anyio.sleep(self.wait * (0.5 + self.chance()))
             self.wait = min(2 * self.wait, LONGEST)
 
--- /dev/null
+++ b/whinpier/net/door.py
@@ -0,0 +1,158 @@
+"""Owns the listeners, the clients taken in by them, and who of them has to go when descriptors are short.
+
+Must never close a client whose task is here and not read, or leave what waits at a listener unseen for long.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from itertools import takewhile
+
+import anyio
+
+from whinpier import log
+from whinpier.decay import SECOND
+from whinpier.net.clients import Asked, Client
+from whinpier.net.routes import Router
+from whinpier.runtime.life import Life
+from whinpier.runtime.pool import Pool
+
+SWEEP = SECOND // 4  # between looks at what waits too long: what is owed within 3 s is given after 2
+UNUSED = SECOND // 10  # a connection idle for less may be about to be used again
+SILENT = SECOND // 20  # who has come asks at once: the way from a client, many times over
+
+
+class Door:
+    """All clients of the process that speak HTTP/1.1."""
+
+    def __init__(self, life: Life, router: Router) -> None:
+        self.life, self.loop, self.budget, self.router = life, life.loop, life.budget, router
+        self.ids, self.up = life.ids, life.spec.up
+        self.clients: set[Client] = set()
+        self.strangers: dict[Client, None] = {}  # those that have asked for nothing yet, the oldest first
+        self.space = anyio.Event()
+        self.budget.let_go = self.let_go
+        self.roomier = self.budget.roomier = self.make_known
+        self.random = life.random
+
+    @property
+    def stop_by(self) -> int:
+        return self.life.stop_by
+
+    @property
+    def closing(self) -> bool:
+        return self.life.closing
+
+    def ready(self) -> bool:
+        return self.life.ready()
+
+    def crowded(self) -> bool:
+        """Whether clients had better not keep their connections."""
+        return self.budget.crowded(len(self.clients) - len(self.strangers))
+
+    def no_room(self, pool: Pool) -> bool:
+        """Whether a task is turned back at the door; if not it counts among its pool's from now on."""
+        if self.life.closing or pool.leaving or pool.part.shed and self.random() < pool.part.shed:
+            return True
+        budget = self.budget
+        usual = budget.connections - budget.most_clients
+        if len(self.clients) > budget.most_clients and budget.tasks.used >= usual:
+            return True
+        return not pool.part.tasks.take()
+
+    def left(self, client: Client, task: Asked) -> None:
+        assert client.to
+        client.to[0].pool.client_left(task)
+
+    def gone(self, client: Client) -> None:
+        if client in self.clients:
+            self.clients.remove(client)
+            self.budget.clients -= 1
+        self.strangers.pop(client, None)
+
+    def make_known(self) -> None:
+        self.space.set()
+
+    def let_go(self) -> None:
+        """Close a client that is not in use: one that has had its last answer, has asked nothing, or is idle.
+
+        Guards against ending one whose task is here already and only not read yet: that task would be lost.
+        """
+        now = self.loop.clock()
+        done = (client for client in self.clients if client.last)
+        silent = takewhile(lambda client: client.since < now - SILENT, self.strangers)
+        for group in (done, silent, self.longest_idle(now - UNUSED)):
+            if client := next((client for client in group if client.unused()), None):
+                client.close()
+                return
+
+    def longest_idle(self, since: int) -> Iterator[Client]:
+        """Clients that have asked before and are idle since then or longer; sorted once one is wanted."""
+        yield from sorted((client for client in self.clients if client.idle() and client.since < since
+                           and client not in self.strangers), key=lambda client: client.since)
+
+    def welcome(self, listener: socket.socket) -> bool:
+        """Take one client in. One too many is only turned back: what waits unseen is lost in time."""
+        budget = self.budget
+        if len(self.clients) >= budget.most_clients:
+            self.let_go()
+        most = min(budget.most_clients, budget.connections - budget.links.used) + budget.door
+        if not budget.make_room() and len(self.clients) >= most:
+            return False
+        sock, _ = listener.accept()
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client = Client(self, sock)
+        self.clients.add(client)
+        budget.clients += 1
+        self.strangers[client] = None
+        client.watch(len(budget.parts) > 1)
+        return True
+
+    async def accept(self, listener: socket.socket) -> None:
+        """Take clients in while there are descriptors; at the limit accepting waits."""
+        while True:
+            await anyio.wait_readable(listener)
+            try:
+                while self.welcome(listener):
+                    pass
+                log.warn("descriptors_used_up", clients=len(self.clients), links=self.budget.links.used)
+                self.space = anyio.Event()
+                with anyio.move_on_after(0.1):
+                    await self.space.wait()
+            except BlockingIOError:
+                pass
+            except anyio.ClosedResourceError:
+                return
+            except Exception:  # whatever it was: nobody else takes clients in
+                log.fault("accept_failed")
+                await anyio.sleep(0.01)
+
+    def sweep(self) -> None:
+        """Every wait has an end."""
+        now = self.loop.clock()
+        self.loop.at(now + SWEEP, self.loop, self.sweep)
+        for client in list(self.clients):
+            client.sweep(now)
+        longest = self.longest_idle(now - SWEEP)
+        while self.crowded() and (idle := next(longest, None)):
+            idle.read_last()
+
+    # The end.
+
+    def anyone(self) -> bool:
+        return bool(self.clients)
+
+    def close_idle(self) -> None:
+        """No more is taken: what is idle goes, once what may just have come is read."""
+        for client in list(self.clients):
+            if client.idle():
+                client.read_last()
+
+    def owes(self) -> bool:
+        """Whether an answer is not written whole, or a request has begun to come."""
+        return any(client.left or client.reading for client in self.clients)
+
+    def figures(self) -> dict[str, int]:
+        return {"clients": len(self.clients)}
--- /dev/null
+++ b/whinpier/net/routed.py
@@ -0,0 +1,75 @@
+"""Owns the operator's way from a request to its pool and workload: by the table of routes.
+
+Not imported without an operator's file. Must never pass on what can be read two ways, or let a request past
+its route.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from whinpier import log
+from whinpier.model import Workload
+from whinpier.net.routes import BadRequest, Headers, Target
+from whinpier.routing import normal
+from whinpier.routing.table import Asked, Missed, Table
+from whinpier.runtime.pool import Pool
+
+METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))  # whose answers end as they say
+
+
+class Routed:
+    """The operator's way: a table of routes. What matches none is answered at once."""
+
+    def __init__(self, table: Table, pools: Mapping[str, Pool]) -> None:
+        self.table, self.targets = table, dict[str, Target]()
+        for route in table.routes:
+            to, pool = route.to, pools[route.to.pool]
+            self.targets[route.name] = Target(pool, pool.workloads.get(to.workload.encode()), to.fields,
+                                              to.patience, bool(route.methods), route.name)
+
+    def route(self, method: bytes, target: bytes, headers: Headers) -> tuple[Target, Workload]:
+        if method not in METHODS:
+            raise BadRequest(405, f"{method!r} is no method of a task")
+        found = {name.decode("ascii"): value.decode("latin-1") for name, value in headers}
+        if len(found) < len(headers) and [name for name, _ in headers].count(b"host") > 1:
+            raise BadRequest(400, "a Host twice")
+        try:
+            host, path = found.get("host", ""), target.partition(b"?")[0].decode("ascii")
+            if not path.startswith("/"):
+                host, path = self.absolute(host, path)
+            host, path = normal.host(host), normal.path(path)
+        except (normal.Unclear, UnicodeDecodeError) as unclear:
+            raise BadRequest(400, f"can be read two ways: {unclear}") from None
+        asked = Asked(method.decode(), host, path, found, found.get("x-lane", ""))
+        route = self.table.find(asked)
+        if isinstance(route, Missed):
+            log.counts["no_route"] += 1
+            if route.methods:
+                allow = ", ".join(sorted(route.methods)).encode()
+                raise BadRequest(405, "no route takes this method", [(b"allow", allow)], last=False)
+            raise BadRequest(404, f"no route: {route.reason} not known", last=False)
+        if len(found) < len(headers):
+            names = [name for name, _ in headers]
+            for name in route.headers:
+                if names.count(name.encode()) > 1:
+                    raise BadRequest(400, f"{name}, which its route looks at, came twice")
+        to = self.targets[route.name]
+        workload = to.workload
+        if workload is None:
+            lane = asked.workload.encode("latin-1")
+            workload = to.pool.workloads.get(lane)
+            if workload is None:
+                raise BadRequest(404, f"no such workload: {asked.workload!r}", last=False)
+        return to, workload
+
+    @staticmethod
+    def absolute(host: str, target: str) -> tuple[str, str]:
+        """Host and path of a target in absolute form, which has to name the host that `Host` names."""
+        scheme, mark, rest = target.partition("://")
+        if not mark or scheme.lower() not in ("http", "https"):
+            raise normal.Unclear("a target that is neither a path nor a URL")
+        named, slash, path = rest.partition("/")
+        if "@" in named or normal.host(named) != normal.host(host):
+            raise normal.Unclear("a target that names another host than Host")
+        return host, slash + path or "/"
--- /dev/null
+++ b/whinpier/net/routes.py
@@ -0,0 +1,67 @@
+"""Owns what a request has to say to be a task, and the platform's way to its workload: by lane.
+
+Must never pass on what does not look as its workload's requests do.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from whinpier.model import EXCLUSIVE, RERUNNABLE, TICKETED, Workload
+from whinpier.runtime.pool import Pool
+from whinpier.spec import Fields
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class BadRequest(Exception):
+    """A request that is no task; the text says why, `headers` go with the answer."""
+
+    def __init__(self, status: int, text: str, headers: Headers | None = None, last: bool = True) -> None:
+        super().__init__(text)
+        self.status, self.headers, self.last = status, headers, last
+
+
+@dataclass(slots=True, eq=False)
+class Target:
+    """Where a request goes: of its pool, by which rules, and which of its headers say what."""
+
+    pool: Pool
+    workload: Workload | None  # None: the one that the request names
+    fields: Fields
+    patience: int = 0  # nanoseconds at most; 0: the workload's
+    any_method: bool = False  # whether the route names its methods, so that none needs to fit the kind
+    route: str = ""
+
+
+class Router(Protocol):
+    """Says where a request goes."""
+
+    def route(self, method: bytes, target: bytes, headers: Headers) -> tuple[Target, Workload]:
+        """Raises BadRequest for what goes nowhere."""
+
+
+class Lanes:
+    """The platform's way: the first part of the path names the workload, of the only pool."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.target = Target(pool, None, Fields())
+        self.workloads = pool.workloads
+
+    def route(self, method: bytes, target: bytes, headers: Headers) -> tuple[Target, Workload]:
+        path = target.partition(b"?")[0]
+        lane = path.lstrip(b"/").partition(b"/")[0]
+        workload = self.workloads.get(lane)
+        if workload is None or dict(headers).get(b"x-lane", lane) != lane:
+            raise BadRequest(404, f"no such lane: {lane!r}")
+        return self.target, workload
+
+
+def fits(method: bytes, target: Target, workload: Workload, ticket: bytes | None, size: int) -> None:
+    """Refuse a request that does not look as its workload's do."""
+    if not target.any_method and method != (b"GET" if workload.kind == RERUNNABLE else b"POST"):
+        raise BadRequest(405, f"{method!r} does not fit the lane")
+    if (workload.kind == TICKETED and not ticket or workload.kind == EXCLUSIVE and ticket
+            or method == b"GET" and size):
+        raise BadRequest(400, "the lane's requests look otherwise")
--- a/whinpier/net/upstreams.py
+++ b/whinpier/net/upstreams.py
@@ -9,20 +9,19 @@
 import errno
 import socket
 from collections import deque
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterator
 
 import anyio
 import h11
 
+from whinpier import log
 from whinpier.decay import SECOND
-from whinpier.model import ERROR, FULFILLED, FULL, MOOT, NO_CONNECTION, READY, RESET, HandOff, Upstream
-from whinpier.net import buffers, log
-from whinpier.net.config import Address
+from whinpier.model import ERROR, FULFILLED, FULL, MOOT, NO_CONNECTION, READY, RESET
+from whinpier.net import buffers
+from whinpier.runtime.budget import Part
+from whinpier.runtime.pool import Peer, Pool, Sent, Taken
 from whinpier.settings import COLUMNS
-
-if TYPE_CHECKING:
-    from whinpier.net.balancer import Balancer
-    from whinpier.net.clients import Asked
+from whinpier.spec import Address
 
 BODY = 64 * 1024  # the largest body, by the protocol
 # Of an answer: upstreams have been met whose good ones are six times what the protocol says.
@@ -30,6 +29,7 @@
 # All that the parser needs to know of a task: that an answer is due. The task is written as it came, since
 # building it by h11 costs over twice as much.
 DUE = h11.Request(method="GET", target="/", headers=[("host", "upstream")])
+BODILESS = frozenset((204, 304))
 INTERIM = 64  # interim answers to one task: more are rubbish
 # A kept connection is let go at half its idle limit: the other side may close it any time from then on, and
 # what is written to one just closed may have run.
@@ -51,8 +51,8 @@
     def header(self, name: bytes) -> bytes | None:
         return next((value for given, value in self.headers if given == name), None)
 
-    def outcome(self) -> str:
-        if self.status == 200:
+    def outcome(self, passed_on: frozenset[int]) -> str:
+        if self.status in passed_on:
             return FULFILLED
         turned_away = self.status in (503, 504) and self.header(b"x-turned-away") == b"1"
         return FULL if turned_away else ERROR
@@ -73,27 +73,59 @@
         return found or None
 
 
-class Sending(HandOff):
+class Http(Taken):
+    """A task as it goes on to an upstream that speaks HTTP/1.1."""
+
+    __slots__ = ("head", "body")
+    head: bytes  # but for what is left of its patience
+    body: bytes
+
+
+class Sending(Sent):
     """A hand-off on its way."""
 
-    def __init__(self, task: Asked, server: Server, now: int) -> None:
-        super().__init__(task, server, len(task.hand_offs), now)
-        self.asked, self.server = task, server
+    def __init__(self, task: Http, server: Server, now: int) -> None:
+        super().__init__(task, server, now)
+        self.asked = task
         self.link: Link | None = None
-        self.settled = False  # its outcome is told, or about to be
 
 
-class Server(Upstream):
+class Server(Peer):
     """An upstream with its connections."""
 
-    def __init__(self, balancer: Balancer, host: str, number: int, state: str, started: int,
+    def __init__(self, pool: Pool, host: str, number: int, state: str, started: int,
                  address: Address) -> None:
         super().__init__(number, state, 0, 0, started)
-        self.balancer, self.host, self.address = balancer, host, address
+        self.pool, self.loop, self.host, self.address = pool, pool.loop, host, address
+        self.links: set[Link] = set()
         self.idle: list[Link] = []  # the one last used is used next, so that the others can go
         self.waiting: deque[Sending] = deque()  # hand-offs that wait for a connection
         self.opening = 0
 
+    def hand(self, task: Taken) -> Sent:
+        assert isinstance(task, Http)
+        sending = Sending(task, self, self.pool.now)
+        task.hand_offs.append(sending)
+        self.send(sending)
+        return sending
+
+    def stop(self, sent: Sent) -> None:
+        assert isinstance(sent, Sending)
+        if sent.link:
+            sent.link.give_up()
+        elif sent in self.waiting:
+            self.waiting.remove(sent)
+
+    def unused(self) -> Iterator[tuple[int, Callable[[], None]]]:
+        return ((link.since, link.close) for link in self.idle)
+
+    def out(self) -> int:
+        return sum(link.sending is not None for link in self.links) + len(self.waiting)
+
+    def sweep(self) -> None:
+        for link in [link for link in self.idle if link.since < self.oldest()]:
+            link.close()
+
     def send(self, sending: Sending) -> None:
         while self.idle:
             link = self.idle.pop()
@@ -105,27 +137,30 @@
         # What waits takes whichever comes first, a new connection or one that falls free.
         if len(self.waiting) > self.opening and not self.open():
             self.waiting.remove(sending)
-            self.balancer.settle(sending, MOOT)
+            self.pool.settle(sending, MOOT)
 
     def open(self) -> bool:
         """Begin a new connection, if there is a descriptor for it."""
         try:
-            link = Link(self) if self.balancer.make_room() else None
+            if not self.pool.house.budget.link(self.pool.part):
+                return False
+            link = Link(self)
         except OSError as fault:  # the system's own limit, met before ours
+            self.pool.part.links.give()
             log.warn("no_socket", fault=fault)
-            link = None
-        if link:
-            self.opening += 1
-            self.balancer.links.add(link)
-            self.balancer.spawn(link.run, link.close)
-        return link is not None
+            return False
+        self.opening += 1
+        self.links.add(link)
+        self.loop.spawn(link.run, link.close)
+        return True
 
     def free(self, link: Link) -> None:
         """A connection can take a hand-off."""
-        if self.state != READY or link.address != self.address:
+        if self.state != READY or link.address != self.address or (
+                not self.waiting and self.pool.house.budget.called_back(self.pool.part)):
             link.close()
             return
-        link.since = self.balancer.clock()
+        link.since = self.loop.clock()
         self.idle.append(link)
         if self.waiting:
             self.send(self.waiting.popleft())
@@ -133,33 +168,33 @@
     def not_opened(self) -> None:
         """A connection did not come up: whoever waited for it longest has its outcome."""
         if len(self.waiting) > self.opening:
-            self.balancer.settle(self.waiting.popleft(), NO_CONNECTION)
+            self.pool.settle(self.waiting.popleft(), NO_CONNECTION)
 
-    def moved(self, address: Address) -> None:
-        if address != self.address:
-            self.address = address
+    def moved(self, dial: Address) -> None:
+        if dial != self.address:
+            self.address = dial
             self.close_idle()
 
     def oldest(self) -> int:
         """Since when a connection may have been idle to be kept."""
-        return self.balancer.clock() - int(KEEP * self.balancer.config.idle_limit)
+        return self.loop.clock() - int(KEEP * self.pool.spec.idle_limit)
 
-    def close_idle(self, since: int | None = None) -> None:
-        for link in [link for link in self.idle if since is None or link.since < since]:
+    def close_idle(self) -> None:
+        for link in list(self.idle):
             link.close()
 
     def retire(self) -> None:
         """It is to get nothing new: what still waits to be sent is not sent, and idle connections go."""
         self.close_idle()
         while self.waiting:
-            self.balancer.settle(self.waiting.popleft(), MOOT)
+            self.pool.settle(self.waiting.popleft(), MOOT)
 
 
 class Link(buffers.Connection):
     """One connection to an upstream."""
 
     def __init__(self, server: Server) -> None:
-        self.server, self.balancer, self.address = server, server.balancer, server.address
+        self.server, self.pool, self.loop, self.address = server, server.pool, server.loop, server.address
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.parser: h11.Connection | None = None  # for answers that are in any way unusual
@@ -168,15 +203,18 @@
         self.left = memoryview(b"")
         self.since, self.moved, self.up, self.closed = 0, 0, False, False
 
+    def pays(self) -> Part:
+        return self.pool.part
+
     async def run(self) -> None:
         """Connect; what comes from then on is read as it comes."""
         try:
-            self.balancer.at(self.balancer.clock() + self.balancer.config.connect_limit, self.late)
+            self.loop.at(self.loop.clock() + self.pool.spec.connect_limit, self.loop, self.late)
             if self.sock.connect_ex(self.address) in (0, errno.EINPROGRESS):
                 await anyio.wait_writable(self.sock)
                 if not self.closed and not self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
                     self.up, self.server.opening = True, self.server.opening - 1
-                    self.watch()
+                    self.watch(len(self.pool.house.budget.parts) > 1)
                     self.server.free(self)
                     return
         except (OSError, anyio.ClosedResourceError):
@@ -205,7 +243,7 @@
         log.must(sending.outcome is None, "what has its outcome is not sent")
         self.sending, sending.link, self.answer, self.moved = sending, self, Answer(), 0
         asked = sending.asked
-        remaining = max(0, asked.ends - self.balancer.clock()) / SECOND
+        remaining = max(0, asked.ends - self.loop.clock()) / SECOND
         self.write(b"%sx-remaining: %.3f\r\n\r\n%s" % (asked.head, remaining, asked.body))
 
     def read(self) -> None:
@@ -234,18 +272,18 @@
             return
         begun = parser.their_state is not h11.SEND_RESPONSE or parser.trailing_data[0]
         if self.sending is sending and begun:
-            first, self.moved = not self.moved, self.balancer.clock()
+            first, self.moved = not self.moved, self.loop.clock()
             if first:
-                self.balancer.at(self.moved + self.balancer.config.connect_limit, self.stuck, sending)
+                self.loop.at(self.moved + self.pool.spec.connect_limit, self.loop, self.stuck, sending)
 
     def stuck(self, sending: Sending) -> None:
         """Guards against heads and bodies that never end: what has begun to come goes on coming."""
         if self.sending is not sending:
             return
         self.read()  # a late loop may not have come to it
-        ends = self.moved + self.balancer.config.connect_limit
-        if self.sending is sending and ends > self.balancer.clock():
-            self.balancer.at(ends, self.stuck, sending)
+        ends = self.moved + self.pool.spec.connect_limit
+        if self.sending is sending and ends > self.loop.clock():
+            self.loop.at(ends, self.loop, self.stuck, sending)
         elif self.sending is sending:
             self.spoilt("an answer that does not end")
 
@@ -255,7 +293,7 @@
         sending, written = self.sending, not self.left
         self.give_up()
         if sending:
-            self.balancer.settle(sending, ERROR if written else NO_CONNECTION)
+            self.pool.settle(sending, ERROR if written else NO_CONNECTION)
 
     def take_plain(self, data: bytes) -> bool:
         """Take in an answer that has come whole and alone, in the plainest form; False for any other."""
@@ -276,7 +314,7 @@
             answer.status, answer.headers = event.status_code, list(event.headers)
             buffers.check_framing(answer.headers, event.http_version)
             framed = answer.header(b"content-length") or answer.header(b"transfer-encoding")
-            if answer.status == 200 and framed is None:
+            if answer.status in self.pool.spec.passed_on and answer.status not in BODILESS and framed is None:
                 raise h11.RemoteProtocolError("a body whose end can't be told from a break")
             length = answer.header(b"content-length") or b"0"
             if len(length) > 9 or int(length) > ANSWER:
@@ -287,8 +325,8 @@
                 raise h11.RemoteProtocolError("too many interim answers")
         elif isinstance(event, h11.Data):
             answer.size += len(event.data)
-            self.balancer.bodies += len(event.data)
-            if answer.size > ANSWER or self.balancer.bodies > 2 * self.balancer.most_bodies:
+            if answer.size > ANSWER or not self.pool.part.bodies.take(len(event.data)):
+                answer.size -= len(event.data)
                 raise h11.RemoteProtocolError("body too large")
             answer.parts.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
@@ -307,7 +345,7 @@
         """An answer is whole: the connection, if it is clean, is free again before its outcome is told."""
         sending, answer = self.part(), self.answer
         assert sending is not None
-        outcome = answer.outcome()
+        outcome = answer.outcome(self.pool.spec.passed_on)
         if self.left and outcome != FULL:
             outcome = NO_CONNECTION  # an answer to what was not written whole
         self.parser = None
@@ -315,13 +353,14 @@
             self.server.free(self)
         else:
             self.close()
-        self.balancer.settle(sending, outcome, answer)
+        self.pool.settle(sending, outcome, answer, answer.load(self.pool.columns))
 
     def part(self) -> Sending | None:
         """Let go of the hand-off on it, whose answer counts no longer among the bodies."""
         sending, self.sending = self.sending, None
         if sending:
-            self.balancer.bodies -= self.answer.size
+            if self.answer.size:
+                self.pool.part.bodies.give(self.answer.size)
             sending.link = None
         return sending
 
@@ -330,7 +369,8 @@
         if self.closed:
             return
         self.closed = True
-        self.balancer.links.discard(self)
+        self.server.links.discard(self)
+        self.pool.part.links.give()
         if self in self.server.idle:
             self.server.idle.remove(self)
         self.hang_up()
@@ -338,8 +378,8 @@
             self.server.opening -= 1
             self.server.not_opened()
         if sending := self.part():
-            self.balancer.settle(sending, NO_CONNECTION if self.left else RESET)
-        self.balancer.roomier()
+            self.pool.settle(sending, NO_CONNECTION if self.left else RESET)
+        self.pool.house.budget.roomier()
 
     def give_up(self) -> None:
         """Close without an outcome: whoever gives up tells it."""
--- /dev/null
+++ b/whinpier/net/wire.py
@@ -0,0 +1,42 @@
+"""Puts HTTP/1.1 together for the life of the process: its door, its upstreams, its watch of the list."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+from whinpier.net.discovery import Discovery
+from whinpier.net.door import Door
+from whinpier.net.routes import Lanes, Router
+from whinpier.net.upstreams import Server
+from whinpier.runtime.life import Front, Life
+from whinpier.runtime.pool import Peer, Pool, Watch
+from whinpier.spec import Entry
+
+
+class Http1:
+    """HTTP/1.1 on both sides."""
+
+    def front(self, life: Life) -> Front:
+        return Door(life, self.router(life))
+
+    def reroute(self, front: Front, life: Life) -> None:
+        """Follow the routes that now hold; what has its pool already goes on there."""
+        assert isinstance(front, Door)
+        front.router, front.up = self.router(life), life.spec.up
+
+    @staticmethod
+    def router(life: Life) -> Router:
+        if life.spec.table is None:
+            return Lanes(next(iter(life.pools.values())))
+        from whinpier.net.routed import Routed  # only where there is an operator's file
+        return Routed(life.spec.table, life.pools)
+
+    def peer(self, pool: Pool, entry: Entry, number: int) -> Peer:
+        return Server(pool, entry.host, number, entry.state, entry.started, entry.dial)
+
+    def watch(self, pool: Pool, spawn: Callable[[Callable[[], Awaitable[None]]], None]) -> Watch:
+        assert pool.spec.discovery
+        chance = pool.choice.split.random
+        discovery = Discovery(pool.spec.discovery, pool.spec.seq, pool.told, chance, pool.tag)
+        spawn(discovery.run)
+        return discovery
--- /dev/null
+++ b/whinpier/runtime/life.py
@@ -0,0 +1,270 @@
+"""Owns the life of the process: its pools, its fronts, signals, reload and the end.
+
+Must never let a signal or a faulty file end the process, or leave a task without an answer at the end.
+"""
+
+from __future__ import annotations
+
+import gc
+import signal
+import socket
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import replace
+from random import Random
+from typing import Any, Protocol
+
+import anyio
+
+from whinpier import log
+from whinpier.choice import WINDOW
+from whinpier.decay import SECOND, Sum
+from whinpier.runtime.budget import SPARE, Budget, Part
+from whinpier.runtime.loop import MS, Loop
+from whinpier.runtime.pool import Peer, Pool, Taken, Watch
+from whinpier.spec import Address, ConfigFault, Entry, PoolSpec, Spec
+
+STILL_COMING = 6 * SECOND // 10  # after SIGTERM new connections go on coming for up to 0.4 s
+# After SIGTERM nothing ends the process sooner than the longest patience and 0.7 s more. The last tenth of
+# that is for a late loop, and what comes before it for answering what is out, with no more taken.
+LONGEST = 3 * SECOND  # of a patience, as it counts for that
+AFTERWARDS, CLOSING = 6 * SECOND // 10, 4 * SECOND // 10
+SWEEP = SECOND // 4
+FIGURES = 10 * SECOND  # between lines of figures
+MOST_SPARE = 4  # descriptors for each further pool: its discovery, and one that is being replaced
+
+
+class Front(Protocol):
+    """A protocol's side towards clients."""
+
+    def sweep(self) -> None: ...
+
+    async def accept(self, listener: socket.socket) -> None: ...
+
+    def anyone(self) -> bool: ...
+
+    def close_idle(self) -> None: ...
+
+    def owes(self) -> bool: ...
+
+    def figures(self) -> dict[str, int]: ...
+
+
+class Wire(Protocol):
+    """A protocol, as the life of the process puts it together."""
+
+    def front(self, life: Life) -> Front: ...
+
+    def reroute(self, front: Front, life: Life) -> None: ...
+
+    def peer(self, pool: Pool, entry: Entry, number: int) -> Peer: ...
+
+    def watch(self, pool: Pool, spawn: Callable[[Callable[[], Awaitable[None]]], None]) -> Watch: ...
+
+
+class Life:
+    """One process."""
+
+    def __init__(self, spec: Spec, wire: Wire, reread: Callable[[], Spec],
+                 changed: Callable[[Spec, Spec], Iterable[str]]) -> None:
+        self.spec, self.wire, self.reread, self.changed = spec, wire, reread, changed
+        spare = SPARE + (MOST_SPARE * len(spec.pools) + len(spec.listen) if spec.routed else 0)
+        self.budget = Budget(spec.sockets, spec.memory, spec.isolate, spare)
+        self.loop = Loop(self.budget.judge)
+        self.ids: dict[bytes | int, Taken] = {}  # of tasks till the end of their patience, answered or not
+        self.cold: dict[tuple[Address, int], Sum] = {}  # what goes to an upstream from all pools, by its run
+        self.watches: list[Callable[[], Awaitable[None]]] = []  # to be started with the loop
+        self.running = False
+        self.stopping, self.closing, self.stop_by = False, False, 0
+        self.stopped, self.collect_from = 0, 0
+        self.chance = Random(spec.seed)
+        self.pools: dict[str, Pool] = {}
+        self.going: set[Pool] = set()  # pools that finish what they have
+        for pool in spec.pools.values():
+            self.add(pool)
+        first = next(iter(self.pools.values()))
+        self.random = self.chance.random if spec.routed else first.choice.split.random
+        self.budget.idle = self.idle
+        self.front = wire.front(self)
+
+    def add(self, spec: PoolSpec) -> Pool:
+        seed = self.chance.getrandbits(64) if self.spec.routed else self.spec.seed
+        pool = Pool(self, spec, seed, Counter() if self.spec.routed else log.counts)
+        self.pools[spec.name] = pool
+        return pool
+
+    # What pools ask for.
+
+    def peer(self, pool: Pool, entry: Entry, number: int) -> Peer:
+        return self.wire.peer(pool, entry, number)
+
+    def watch(self, pool: Pool) -> Watch | None:
+        return self.wire.watch(pool, self.start_watch) if pool.spec.discovery else None
+
+    def start_watch(self, run: Callable[[], Awaitable[None]]) -> None:
+        if self.running:
+            self.loop.spawn(run, lambda: None)
+        else:
+            self.watches.append(run)
+
+    def shared(self, entry: Entry) -> Sum | None:
+        """What is sent to one run of an upstream, counted over all pools that list its address."""
+        # Guards against two pools that each keep a cold upstream's bound, and together push it over.
+        if not self.spec.routed:
+            return None
+        return self.cold.setdefault((entry.dial, entry.started), Sum(WINDOW, self.loop.clock()))
+
+    def idle(self) -> Iterable[tuple[int, Part, Callable[[], None]]]:
+        for pool in (*self.pools.values(), *self.going):
+            for peer in pool.peers():
+                for since, close in peer.unused():
+                    yield since, pool.part, close
+
+    def ready(self) -> bool:
+        """Whether the front may send clients."""
+        return not self.stopping and any(pool.ready() for pool in self.pools.values())
+
+    # A new configuration.
+
+    def configure(self) -> None:
+        """SIGHUP: read the configuration again; a faulty one changes nothing."""
+        log.counts["reloads"] += 1
+        try:
+            new = self.reread()
+        except ConfigFault as fault:
+            log.warn("configuration_fault", fault=fault)
+            return
+        except Exception:  # a fault of ours must not end the process either
+            log.fault("configuration_fault")
+            return
+        kept = ",".join(self.changed(self.spec, new))
+        if new.routed:
+            self.apply(new)
+        else:
+            self.follow(new)
+        discovery = {} if new.routed else {
+            "discovery": "%s:%d" % (pool.discovery or ("", 0)) for pool in new.pools.values()}
+        log.say("configured", **discovery, kept_till_restart=kept)
+
+    def follow(self, new: Spec) -> None:
+        """The platform's way: only discovery is followed elsewhere, the rest waits for a restart."""
+        for name, pool in self.pools.items():
+            address = new.pools[name].discovery
+            if pool.source and address and address != pool.spec.discovery:
+                pool.spec = replace(pool.spec, discovery=address)
+                pool.source.move(address)
+
+    def apply(self, new: Spec) -> None:
+        """Pools and routes as the new file has them, in one step between two events of the loop."""
+        before, self.spec = self.spec, new
+        for name, spec in new.pools.items():
+            if name not in self.pools:
+                self.add(spec).start()
+                log.say("pool_added", pool=name)
+            elif spec != before.pools[name]:
+                self.pools[name].change(spec)
+                log.say("pool_changed", pool=name)
+        leaving = [self.pools.pop(name) for name in list(self.pools) if name not in new.pools]
+        self.wire.reroute(self.front, self)
+        for pool in leaving:
+            self.going.add(pool)
+            log.say("pool_leaves", pool=pool.name, out=pool.out)
+            pool.leave(lambda pool=pool: self.going.discard(pool))  # type: ignore[misc]
+
+    # The process.
+
+    def sweep(self) -> None:
+        """Every wait has an end."""
+        self.loop.at(self.loop.clock() + SWEEP, self.loop, self.sweep)
+        for pool in (*self.pools.values(), *self.going):
+            pool.sweep()
+
+    def collecting(self, phase: str, _: dict[str, int]) -> None:
+        """Note how long a garbage collection stops the loop."""
+        if phase == "start":
+            self.collect_from = time.monotonic_ns()
+        else:
+            self.stopped = max(self.stopped, time.monotonic_ns() - self.collect_from)
+
+    def figures(self) -> None:
+        self.loop.at(self.loop.clock() + FIGURES, self.loop, self.figures)
+        pools = (*self.pools.values(), *self.going)
+        for pool in pools:
+            log.must(pool.on_wire() == pool.choice.split.total, "what is counted as out is out on a socket")
+            if self.spec.routed:
+                log.say("pool", pool=pool.name, out=pool.out, **pool.part.figures(), **pool.counts)
+        log.say("figures", out=sum(pool.out for pool in pools), **self.front.figures(),
+                links=self.budget.links.used, alarms=len(self.loop.alarms), lag_ms=self.loop.lag // MS,
+                collect_ms=self.stopped // MS, cpu_s=round(time.process_time(), 2), **log.counts)
+        self.loop.lag = self.stopped = 0
+        used = {(peer.address, peer.started) for pool in pools for peer in pool.held.values()}
+        self.cold = {run: sent for run, sent in self.cold.items() if run in used}
+
+    async def heed(self) -> None:
+        """Signals, until the end: none of them may fall back to ending the process at once."""
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self.configure()
+                elif not self.stopping:
+                    self.stopping = True
+                    self.loop.spawn(self.terminate, self.loop.tasks.cancel_scope.cancel)
+
+    def out(self) -> int:
+        return sum(pool.out for pool in (*self.pools.values(), *self.going))
+
+    async def terminate(self) -> None:
+        """SIGTERM: serve those who are connected for as long as may be, then close behind each answer.
+
+        Guards against clients with nobody to serve them: they stay with the connections they have, the next
+        run does not start sooner for an early end, and there may be no other balancer.
+        """
+        loop = self.loop
+        log.say("stopping", out=self.out(), **self.front.figures())
+        longest = max(workload.patience for spec in self.spec.pools.values() for workload in spec.workloads)
+        self.stop_by = loop.clock() + min(longest, LONGEST) + AFTERWARDS
+        for task in list(self.ids.values()):
+            task.pool.shorten(task, self.stop_by - loop.margin())
+        await anyio.sleep(STILL_COMING / SECOND)
+        while self.front.anyone() and loop.clock() < self.stop_by - CLOSING:
+            await anyio.sleep(0.01)
+        self.closing = True
+        self.front.close_idle()
+        while self.out() or self.front.owes():
+            if loop.clock() > self.stop_by:
+                break
+            await anyio.sleep(0.01)
+        log.say("stopped", out=self.out(), **self.total())
+        loop.tasks.cancel_scope.cancel()
+
+    def total(self) -> dict[str, Any]:
+        """All counters, those of the pools added up."""
+        counts = Counter(log.counts)
+        if self.spec.routed:
+            for pool in (*self.pools.values(), *self.going):
+                counts.update(pool.counts)
+        return dict(counts)
+
+    async def serve(self, listeners: list[socket.socket]) -> None:
+        """Run until told to stop."""
+        loop = self.loop
+        async with anyio.create_task_group() as loop.tasks:
+            self.running = True
+            loop.spawn(self.heed, loop.tasks.cancel_scope.cancel)
+            for run in self.watches:
+                loop.spawn(run, lambda: None)
+            self.watches.clear()
+            for pool in self.pools.values():
+                pool.start()
+            loop.at(loop.clock() + SWEEP, loop, self.sweep)
+            loop.at(loop.clock() + SWEEP, loop, self.front.sweep)
+            loop.at(loop.clock() + FIGURES, loop, self.figures)
+            # What is there by now stays: collecting it over and over would only stop the loop.
+            gc.callbacks.append(self.collecting)
+            gc.freeze()
+            gc.set_threshold(10_000, 20, 50)
+            loop.tasks.start_soon(loop.ring)
+            for listener in listeners:
+                loop.tasks.start_soon(self.front.accept, listener)
+                log.say("listening", address="%s:%d" % listener.getsockname(), debug=__debug__)
--- /dev/null
+++ b/whinpier/runtime/pool.py
@@ -0,0 +1,401 @@
+"""Is the host of one pool's decisions: its list and upstreams, its tasks, what became of each hand-off.
+
+Knows protocols by two interfaces only: a `Taken` task writes its one final answer to whoever asked, a `Peer`
+sends hand-offs to one upstream and tells the one outcome of each. Must never decide anything, give a task two
+final answers or none, or tell the decisions of an outcome twice.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, Protocol
+
+from whinpier import log
+from whinpier.choice import Choice
+from whinpier.decay import SECOND
+from whinpier.model import (DRAINING, FULFILLED, GONE, READY, TIMED_OUT, WITHDRAWN, HandOff, Task, Upstream,
+                            Workload)
+from whinpier.runtime.budget import Budget, Part
+from whinpier.runtime.loop import Loop
+from whinpier.spec import Address, Entry, PoolSpec
+
+START = SECOND  # to be told the list before the one that was known must do
+
+
+class Taken(Task):
+    """A task with whoever waits for its answer; a protocol says how the answer is written."""
+
+    __slots__ = ("id_given", "pool")
+    id_given: bytes  # the id its client gave it, empty if none: no two tasks have the same
+    pool: Pool
+
+    def waited_for(self) -> bool:
+        """Whether its client still waits for this task's answer."""
+        raise NotImplementedError
+
+    def fulfilled(self, answer: Any) -> None:
+        """Final answer: what the upstream made."""
+        raise NotImplementedError
+
+    def turned_back(self, wait: int) -> None:
+        """Final answer: not done, trying again is harmless, best after `wait` nanoseconds."""
+        raise NotImplementedError
+
+    def scrapped(self) -> None:
+        """Final answer: not fulfilled, nothing promised."""
+        raise NotImplementedError
+
+
+class Sent(HandOff):
+    """A hand-off with its upstream; `settled` once its outcome is told, or about to be."""
+
+    def __init__(self, task: Taken, peer: Peer, now: int) -> None:
+        super().__init__(task, peer, len(task.hand_offs), now)
+        self.peer, self.settled = peer, False
+
+
+class Peer(Upstream):
+    """An upstream with what a protocol keeps for it, such as connections."""
+
+    pool: Pool
+    host: str
+    address: Address
+
+    def hand(self, task: Taken) -> Sent:
+        """Send a task, and settle the hand-off with the pool once its outcome is known."""
+        raise NotImplementedError
+
+    def stop(self, sent: Sent) -> None:
+        """Wait no longer for a hand-off; whoever stops it tells its outcome."""
+        raise NotImplementedError
+
+    def moved(self, dial: Address) -> None:
+        """It is met at this address from now on."""
+
+    def close_idle(self) -> None:
+        """Let go of what is idle."""
+
+    def retire(self) -> None:
+        """It is to get nothing new: what is not sent yet is not sent, and is moot."""
+
+    def sweep(self) -> None:
+        """Let go of what has been idle for too long."""
+
+    def unused(self) -> Iterator[tuple[int, Callable[[], None]]]:
+        """What is idle: since when, and how to let go of it."""
+        return iter(())
+
+    def out(self) -> int:
+        """How many hand-offs are out, counted anew on the wire."""
+        raise NotImplementedError
+
+
+class Watch(Protocol):
+    """Whatever tells a pool its list."""
+
+    def follow(self, on: bool) -> None: ...
+
+    def fetch(self) -> None: ...
+
+    def move(self, address: Address) -> None: ...
+
+    def end(self) -> None: ...
+
+
+class House(Protocol):
+    """What a pool needs of the process around it."""
+
+    loop: Loop
+    budget: Budget
+    ids: dict[bytes | int, Taken]
+
+    def peer(self, pool: Pool, entry: Entry, number: int) -> Peer: ...
+
+    def watch(self, pool: Pool) -> Watch | None: ...
+
+    def shared(self, entry: Entry) -> Any: ...
+
+
+def hashed(text: bytes) -> int:
+    """The same number for the same text at every balancer."""
+    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
+
+
+class Pool:
+    """Some upstreams, and the decisions on what goes to them."""
+
+    def __init__(self, house: House, spec: PoolSpec, seed: int, counts: Counter[str]) -> None:
+        self.house, self.loop, self.spec, self.name, self.counts = house, house.loop, spec, spec.name, counts
+        self.part = Part(house.budget, spec.limits)
+        self.now = self.loop.clock()
+        self.began = self.now
+        self.held: dict[str, Peer] = {}  # the list as last told
+        self.leavers: set[Peer] = set()  # no longer listed, with hand-offs still out
+        self.out = 0  # tasks without an answer
+        self.told_once, self.leaving, self.ended = False, False, False
+        self.on_end: Callable[[], None] = lambda: None
+        self.settle_names(spec)
+        self.choice = Choice(self, spec.settings, list(spec.workloads), seed)
+        self.source = house.watch(self)
+
+    def settle_names(self, spec: PoolSpec) -> None:
+        self.spec = spec
+        self.columns: list[str] = spec.settings["report.columns"]
+        self.workloads: dict[bytes, Workload] = {w.name.encode(): w for w in spec.workloads}
+        self.tenants = {name.encode(): index for index, name in enumerate(spec.tenants)}
+
+    def start(self) -> None:
+        """Take up the list: what is known, then what is told."""
+        if self.spec.known:
+            self.told(self.spec.known, True, cached=self.source is not None)
+        if self.source:
+            self.source.follow(self.spec.settings.get("discovery") != "subscribe")
+
+    def change(self, spec: PoolSpec) -> None:
+        """Go on by another configuration; tasks, connections and what is known of upstreams stay."""
+        before, kept = self.spec, {workload.name: workload for workload in self.spec.workloads}
+        for index, new in enumerate(spec.workloads):
+            old = kept.get(new.name)
+            # Guards against a task that is out and may suddenly be repeated: another kind is another one.
+            if old and (old.kind, old.group, old.streamed) == (new.kind, new.group, new.streamed):
+                old.agreed_time, old.patience, old.window = new.agreed_time, new.patience, new.window
+                old.payoff, old.late_payoff, old.stretch = new.payoff, new.late_payoff, new.stretch
+                spec.workloads[index] = old
+        self.settle_names(spec)
+        self.part.change(spec.limits)
+        self.loop.enter(self, self.choice.change, spec.settings, list(spec.workloads))
+        if spec.discovery is None:
+            if self.source:
+                self.source.end()
+                self.source = None
+            self.told(spec.known, True)
+        elif self.source is None:
+            self.source = self.house.watch(self)
+            self.start()
+        elif spec.discovery != before.discovery:
+            self.source.move(spec.discovery)
+
+    # What the decisions ask for.
+
+    def hand_off(self, task: Task, upstream: Upstream, stop_at: int = 0) -> HandOff:
+        assert isinstance(task, Taken) and isinstance(upstream, Peer)
+        log.must(not task.ended, "nothing is sent for a task that has its answer")
+        log.must(upstream.state == READY, "nothing new is sent to what drains or is gone")
+        self.counts["handed_off"] += 1
+        sent = upstream.hand(task)
+        if stop_at and stop_at < task.ends:
+            self.loop.at(stop_at, self, self.stop_waiting, sent, TIMED_OUT)
+        return sent
+
+    def withdraw(self, hand_off: HandOff) -> None:
+        self.stop_waiting(hand_off, WITHDRAWN)
+
+    def turn_back(self, task: Task, wait: int = 0) -> None:
+        assert isinstance(task, Taken)
+        if self.finish(task, "turned_back"):
+            task.turned_back(wait)
+
+    def scrap(self, task: Task) -> None:
+        assert isinstance(task, Taken)
+        if self.finish(task, "scrapped"):
+            task.scrapped()
+
+    def alarm(self, at: int, token: int = 0) -> None:
+        if not self.ended:
+            self.loop.at(max(at, self.now + 1), self, self.bell, token)
+
+    def bell(self, token: int) -> None:
+        if not self.ended:
+            self.choice.bell(token)
+
+    def probe(self, upstream: Upstream) -> None:
+        """Room for it: nothing decides on findings yet."""
+
+    def close_idle(self, upstream: Upstream) -> None:
+        assert isinstance(upstream, Peer)
+        upstream.close_idle()
+
+    def tell(self, balancer: int | None, contents: bytes) -> None:
+        """Room for it: balancers share nothing."""
+
+    def follow_list(self, on: bool) -> None:
+        if self.source:
+            self.source.follow(on)
+
+    def fetch_list(self) -> None:
+        if self.source:
+            self.source.fetch()
+
+    def log(self, text: str) -> None:
+        log.say("decisions", pool=self.name, text=text)
+
+    # What comes in.
+
+    def take(self, task: Taken) -> None:
+        """A client's task."""
+        self.out += 1
+        self.counts["tasks"] += 1
+        task.pool = self
+        self.house.ids[task.id_given or task.id] = task
+        self.loop.at(task.ends, self, self.time_up, task)
+        self.loop.enter(self, self.choice.arrive, task)
+
+    def finish(self, task: Taken, how: str) -> bool:
+        """Whether a task, which has no answer yet, is to have its final one now."""
+        log.must(not task.ended and task.waited_for(), "a task has one final answer")
+        if task.ended or not task.waited_for():
+            return False
+        self.end_task(task)
+        self.counts[how] += 1
+        return True
+
+    def end_task(self, task: Taken) -> None:
+        task.ended = True
+        self.out -= 1
+        self.part.tasks.give()
+        if self.leaving:
+            self.check_end()
+
+    def time_up(self, task: Taken) -> None:
+        """Its client gives up now: what is still out has timed out, and an answer goes in any case."""
+        for hand_off in list(task.hand_offs):
+            self.stop_waiting(hand_off, TIMED_OUT)
+        self.loop.todo.append((self, self.last_word, (task,)))
+
+    def last_word(self, task: Taken) -> None:
+        # Guards against a fault in a decision: even then a task has its answer in time.
+        if not task.ended:
+            log.must(False, "the decisions end a task by its patience")
+            self.scrap(task)
+        # Guards against long stops of the loop: tasks and hand-offs point to each other, so that without this
+        # they would pile up, of an age that only a full collection looks at.
+        task.hand_offs.clear()
+        self.house.ids.pop(task.id_given or task.id, None)
+
+    def shorten(self, task: Taken, ends: int) -> None:
+        """A task is over sooner than its client thinks, as the process is."""
+        if task.ends > ends:
+            task.ends = ends
+            self.loop.at(ends, self, self.time_up, task)
+
+    def stop_waiting(self, hand_off: HandOff, outcome: str) -> None:
+        assert isinstance(hand_off, Sent)
+        if not hand_off.settled:
+            hand_off.peer.stop(hand_off)
+            self.settle(hand_off, outcome)
+
+    def settle(self, sent: Sent, outcome: str, answer: Any = None,
+               load: dict[str, float] | None = None) -> None:
+        """A hand-off has its outcome, once; `answer` is what a fulfilled task is given."""
+        log.must(not sent.settled, "a hand-off has one outcome")
+        if not sent.settled:
+            sent.settled = True
+            self.loop.enter(self, self.came_back, sent, outcome, answer, load)
+
+    def came_back(self, sent: Sent, outcome: str, answer: Any, load: dict[str, float] | None) -> None:
+        sent.outcome, sent.took = outcome, self.now - sent.sent
+        task = sent.task
+        assert isinstance(task, Taken)
+        self.counts["came_back_" + outcome.replace(" ", "_")] += 1
+        if outcome not in (FULFILLED, WITHDRAWN):
+            log.note("not_fulfilled", upstream=sent.peer.host, outcome=outcome, lane=task.workload.name)
+        first = outcome == FULFILLED and not task.ended
+        if first and self.finish(task, "fulfilled"):
+            task.fulfilled(answer)
+        self.choice.came_back(sent, load, first)
+
+    def client_left(self, task: Taken) -> None:
+        if not task.ended:
+            self.end_task(task)
+            self.counts["clients_left"] += 1
+            self.loop.enter(self, self.choice.left, task)
+
+    # The list.
+
+    def told(self, entries: Iterable[Entry], whole: bool, cached: bool = False) -> None:
+        """Follow what a list says; a restart of an upstream is a new one in its place."""
+        entries = list(entries)
+        self.told_once = self.told_once or not cached
+        if not entries and not whole:
+            return  # nothing has changed
+        held = {} if whole else dict(self.held)
+        for entry in entries:
+            peer = self.held.get(entry.host)
+            if entry.state == GONE:
+                held.pop(entry.host, None)
+                continue
+            if peer is None or (entry.started and entry.started != peer.started):
+                peer = self.house.peer(self, entry, hashed(entry.host.encode()))
+                peer.sends = self.house.shared(entry)
+            peer.state, peer.cell, peer.size = entry.state, entry.cell, entry.size
+            peer.zone = self.place(self.spec.zones, entry.zone)
+            peer.shape = self.place(self.spec.kinds, entry.shape)
+            peer.moved(entry.dial)
+            held[entry.host] = peer
+        before, self.held = self.held, held
+        for host, peer in before.items():
+            if held.get(host) is not peer:
+                peer.state = GONE
+                self.leavers.add(peer)
+        for peer in {*before.values(), *held.values()}:
+            if peer.state != READY:
+                peer.retire()
+        states = Counter(peer.state for peer in held.values())
+        log.say("list", **self.tag(), whole=whole, cached=cached, **states)
+        usable = [peer for peer in held.values() if peer.state in (READY, DRAINING)]
+        self.loop.enter(self, self.choice.listed, usable)
+
+    def tag(self) -> dict[str, str]:
+        """What a line of the log says of this pool: nothing where there is only one."""
+        return {"pool": self.name} if self.house.budget.isolate and len(self.house.budget.parts) > 1 else {}
+
+    @staticmethod
+    def place(names: list[str], name: str) -> int:
+        return names.index(name) if name in names else len(names)
+
+    def ready(self) -> bool:
+        """Whether it can serve: it was told its list, or the known one must do, and something is ready."""
+        told = self.told_once or self.loop.clock() > self.began + START
+        return told and any(peer.state == READY for peer in self.held.values())
+
+    def peers(self) -> Iterator[Peer]:
+        yield from self.held.values()
+        yield from self.leavers
+
+    def sweep(self) -> None:
+        """Let go of what has been idle for long, and of upstreams that have gone."""
+        for peer in self.held.values():
+            peer.sweep()
+        for peer in [peer for peer in self.leavers if not peer.out()]:
+            self.leavers.discard(peer)
+
+    # The end.
+
+    def leave(self, then: Callable[[], None]) -> None:
+        """Take nothing new, finish what is out, then end."""
+        self.leaving, self.on_end = True, then
+        self.check_end()
+
+    def check_end(self) -> None:
+        # Not from inside a call of the decisions, which may go on with what would be ended here.
+        if not self.out and not self.ended:
+            self.loop.at(self.loop.clock(), self, self.end)
+
+    def end(self) -> None:
+        if self.ended or self.out:
+            return
+        self.ended = True
+        if self.source:
+            self.source.end()
+        for peer in self.held.values():
+            peer.state = GONE
+            peer.retire()
+        self.part.end()
+        log.say("pool_ended", pool=self.name)
+        self.on_end()
+
+    def on_wire(self) -> int:
+        """How many hand-offs are out, counted on the wire: what the decisions' own count must be."""
+        return sum(peer.out() for peer in self.peers())
--- /dev/null
+++ b/whinpier/spec.py
@@ -0,0 +1,132 @@
+"""Plain types of what is configured: the process, its pools, their lists. Reads no file, decides nothing."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from ipaddress import AddressValueError, IPv4Address
+from math import isfinite
+from typing import TYPE_CHECKING, Any
+
+from whinpier.model import DRAINING, GONE, READY, Workload
+
+if TYPE_CHECKING:
+    from whinpier.routing.table import Table
+
+Address = tuple[str, int]
+STATES = {"up": READY, "draining": DRAINING, "removed": GONE}
+LATEST = 2**53  # milliseconds: what JSON numbers hold exactly; later times would only upset arithmetic
+PLATFORM = "all"  # the one pool of a process without an operator's file
+
+
+class ConfigFault(Exception):
+    """What is configured cannot be used; the text names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One upstream of a list, as discovery, `known` or the operator's file give it."""
+
+    host: str
+    dial: Address
+    state: str
+    zone: str
+    shape: str
+    cell: int
+    size: float
+    started: int
+
+
+@dataclass(frozen=True)
+class Limits:
+    """What one pool may have of the process; None: no limit of its own."""
+
+    guaranteed: float = 1.0  # the part of descriptors, bodies and CPU that it always has
+    tasks: int | None = None  # without an answer
+    connections: int | None = None  # to upstreams
+    bodies: int | None = None  # bytes of requests and answers held
+
+
+@dataclass(frozen=True, slots=True)
+class Fields:
+    """Which headers of a request say what; empty: none does. Names are in lower case."""
+
+    txn: bytes = b"x-txn"
+    remaining: bytes = b"x-remaining"
+    ticket: bytes = b"idempotency-key"
+    key: bytes = b"x-entity"
+    tenant: bytes = b"x-org"
+    repeat: bytes = b"x-resent"
+    query_key: bytes = b"obj"  # a part of the query that gives the key, before the header
+    optional: bool = False  # whether a request may leave out its id and its patience
+
+    @property
+    def once(self) -> frozenset[bytes]:
+        """Of two, which would hold?"""
+        return frozenset((self.txn, self.remaining, self.ticket, b"x-lane", b"host")) - {b""}
+
+
+@dataclass(frozen=True)
+class PoolSpec:
+    """One pool: its decisions' settings, where its list comes from, what it may use."""
+
+    name: str
+    settings: dict[str, Any]
+    workloads: list[Workload]
+    zones: list[str]
+    kinds: list[str]
+    tenants: list[str]
+    connect_limit: int
+    idle_limit: int
+    discovery: Address | None = None  # None: the list is `known`
+    known: list[Entry] = field(default_factory=list)
+    seq: int | None = None
+    limits: Limits = Limits()
+    passed_on: frozenset[int] = frozenset((200,))  # statuses that are an answer, not an error
+
+
+@dataclass(frozen=True)
+class Spec:
+    """The process."""
+
+    name: str
+    listen: list[Address]
+    seed: int
+    sockets: int
+    memory: int  # bytes
+    pools: dict[str, PoolSpec]
+    table: Table | None = None  # of the operator's routes; None on the platform
+    up: bytes = b"/up"  # where a front asks whether this balancer is ready
+    isolate: bool = True  # whether pools have guaranteed parts
+
+    @property
+    def routed(self) -> bool:
+        """Whether an operator's file says what goes where."""
+        return self.table is not None
+
+
+def address(text: Any, key: str) -> Address:
+    host, mark, port = str(text).rpartition(":")
+    if not (isinstance(text, str) and mark and host and port.isascii() and port.isdigit()
+            and 0 < int(port) < 65536):
+        raise ConfigFault(f"{key}: {text!r} is not HOST:PORT")
+    try:
+        # Guards against a name: looking it up would stop the loop at every connection.
+        return str(IPv4Address(host)), int(port)
+    except AddressValueError:
+        raise ConfigFault(f"{key}: {text!r} is no IPv4 address") from None
+
+
+def entries(hosts: Any) -> list[Entry]:
+    """The entries of a list in discovery's form, all or none."""
+    try:
+        found = [Entry(str(host["host"]), address(host["dial"], "dial"), STATES[host["health"]],
+                       str(host.get("site", "")), str(host.get("class", "")), int(host.get("block", 0)),
+                       float(host.get("share", 1.0)), int(host.get("born_ms", 0)) * 1_000_000)
+                 for host in hosts]
+        for entry in found:
+            latest = LATEST * 1_000_000
+            if not (isfinite(entry.size) and 0 <= entry.started < latest and abs(entry.cell) < LATEST):
+                raise ValueError(f"a figure of {entry.host!r} is out of bounds")
+        return found
+    except (ConfigFault, AttributeError, KeyError, TypeError, ValueError, OverflowError) as fault:
+        raise ConfigFault(f"hosts: {type(fault).__name__}: {fault}") from None
