Routes, pools and the operator's file: several services behind one process, and whinpier demo

Change: config/operator.py reads the operator's file (TOML, typed by msgspec, checked whole; a fault names file, key and what is allowed); net/routed.py sends requests by the compiled table of routing/, refusing hosts and paths that can be read two ways; pools are added, changed and removed at SIGHUP in one step. whinpier/standin has scripted upstreams, an open loop of clients and ledgers; whinpier/cli has run, config check, route and diff, and demo; benchmarks/pools.py drives one pool of three to twice its capacity and shrinks it to a third.

--- /dev/null
+++ b/benchmarks/pools.py
@@ -0,0 +1,217 @@
+"""Three pools behind one process, one of them driven to twice its capacity, then shrunk to a third.
+
+The other two are held against a run with the same seed in which nothing happens to the third, and against one
+with isolation turned off. Real processes over loopback; every task and every execution is counted by the
+stand-ins. See docs/design/pools.md.
+"""
+
+from __future__ import annotations
+
+import os
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from benchmarks.common import Report, apart, main, upstream_list
+from whinpier.standin.clients import Asks, Gateway
+from whinpier.standin.fleet import Fleet
+from whinpier.standin.ledger import Ledger, percentile
+from whinpier.standin.load import Load
+from whinpier.standin.process import Balancer, free_address
+from whinpier.standin.upstream import Script
+
+KINDS = {"tariff": "rerunnable", "posting": "exclusive", "settlement": "ticketed"}
+PER_POOL = 3
+WORK = 0.012  # seconds of a worker for a task: four workers at three upstreams do 1,000 a second
+USUAL = {"tariff": 150.0, "posting": 150.0, "settlement": 100.0}  # tasks a second
+CAPACITY = {"tariff": 300.0, "posting": 300.0, "settlement": 200.0}
+AGREED, PATIENCE = 0.25, 1.5
+DESCRIPTORS, MEMORY = 256, 96
+HUGE = 300_000  # bytes of an answer that goes out slowly
+
+
+@dataclass
+class Phase:
+    """What happens to the posting pool in one stretch of the run."""
+
+    name: str
+    rate: float  # times its usual
+    script: dict[str, object]  # of its first two upstreams
+    third: dict[str, object]  # of its last
+
+
+CALM = Phase("calm", 1.0, {}, {})
+
+
+def phases(short: bool) -> list[Phase]:
+    twice = 2.0 * CAPACITY["posting"] / USUAL["posting"]
+    found = [CALM, Phase("twice its capacity", twice, {}, {}),
+             Phase("a third left, the others hang", twice, {"hang": 1.0}, {})]
+    if not short:
+        found += [Phase("all of it hangs", twice, {"hang": 1.0}, {"hang": 1.0}),
+                  Phase("large slow answers", 1.0, {"size": HUGE, "pace": 400_000.0},
+                        {"size": HUGE, "pace": 400_000.0}),
+                  Phase("four times its capacity, all reset", 2 * twice, {"reset": 1.0}, {"reset": 1.0})]
+    return [*found, CALM]
+
+
+def operator(listen: str, fleets: dict[str, Fleet], isolate: bool, extra: str = "") -> str:
+    lines = [f'version = 1\nlisten = ["{listen}"]\n[process]\ndescriptors = {DESCRIPTORS}\n'
+             f'memory_mb = {MEMORY}\nisolate = {str(isolate).lower()}\n']
+    for name, kind in KINDS.items():
+        window = 'window = "8s"' if kind == "ticketed" else ""
+        method = "GET" if kind == "rerunnable" else "POST"
+        lines.append(f"""
+[pools.{name}]
+upstreams = {upstream_list(fleets[name].addresses)}
+[pools.{name}.workloads.{name}]
+kind = "{kind}"
+agreed_time = "{int(AGREED * 1000)}ms"
+patience = "{int(PATIENCE * 1000)}ms"
+{window}
+[[routes]]
+name = "{name}"
+host = "{name}.example"
+prefix = "/{name}"
+methods = ["{method}"]
+pool = "{name}"
+""")
+    return "".join(lines) + extra
+
+
+@dataclass
+class Seen:
+    """One run."""
+
+    gateways: dict[str, Gateway]
+    lost: Gateway
+    ledgers: dict[str, Ledger]
+    memory: int
+    descriptors: int
+    log: str
+    start: float
+    cpu: float
+
+
+def drive(plan: list[Phase], start: float, span: float, fleet: Fleet, balancer: Balancer) -> tuple[int, int]:
+    """Lead the upstreams through the phases; the most memory and descriptors met."""
+    most, held = 0, 0
+    for index, phase in enumerate(plan):
+        time.sleep(max(0.0, start + span * index - time.monotonic()))
+        for name in fleet.addresses:
+            script = phase.third if name.endswith("2") else phase.script
+            usual: dict[str, object] = {"hang": 0.0, "reset": 0.0, "size": 2, "pace": 0.0}
+            fleet.tell(name, **(usual | script))
+        while time.monotonic() < start + span * (index + 1):
+            time.sleep(0.2)
+            most, held = max(most, balancer.memory()), max(held, balancer.descriptors())
+    return most, held
+
+
+def run(seed: int, plan: list[Phase], span: float, isolate: bool, folder: Path) -> Seen:
+    """One run of all phases."""
+    work = {name: PER_POOL * 4 / CAPACITY[name] for name in KINDS}
+    fleets = {name: Fleet({f"{name}-{n}": Script(work=work[name], queue=16) for n in range(PER_POOL)}, seed)
+              for name in KINDS}
+    listen = free_address()
+    balancer = Balancer(folder, operator=operator(listen, fleets, isolate), listen=listen, cores={apart()[0]})
+    loads = {}
+    try:
+        balancer.wait_ready()
+        start = time.monotonic() + 1.0
+        for name, kind in KINDS.items():
+            surges = [(index * span, (index + 1) * span, phase.rate) for index, phase in enumerate(plan)]
+            loads[name] = Load(balancer.address, Asks(
+                name, USUAL[name], f"/{name}/x", "GET" if kind == "rerunnable" else "POST", f"{name}.example",
+                PATIENCE, AGREED, ticket=kind == "ticketed", retries=3 if name == "posting" else 0,
+                surges=surges if name == "posting" else []), seed, start, span * len(plan), most=2000)
+        loads["lost"] = Load(balancer.address, Asks("lost", 20.0, "/nowhere", host="nowhere.example",
+                                                    patience=PATIENCE), seed, start, span * len(plan))
+        most, held = drive(plan, start, span, fleets["posting"], balancer)
+        gateways = {name: load.result() for name, load in loads.items()}
+        return Seen(gateways, gateways.pop("lost"), {name: fleet.ledger() for name, fleet in fleets.items()},
+                    most, held, balancer.log(), start, balancer.cpu())
+    finally:
+        for load in loads.values():
+            load.stop()
+        balancer.stop()
+        for fleet in fleets.values():
+            fleet.stop()
+
+
+def late(gateway: Gateway, begins: float, ends: float, part: float) -> float:
+    """A percentile of latency, in milliseconds, of what was fulfilled of a stretch."""
+    return 1000 * percentile([task.latency for task in gateway.told
+                              if task.status == 200 and begins <= task.due < ends], part)
+
+
+def compare(report: Report, plan: list[Phase], span: float, calm: Seen, seen: Seen, label: str,
+            binding: bool) -> float:
+    """The other pools beside the calm run, phase by phase; the most that one lost, in points."""
+    worst = 0.0
+    for index, phase in enumerate(plan):
+        if phase is CALM:
+            continue
+        for name in ("tariff", "settlement"):
+            shares = [run.gateways[name].share_on_time(run.start + index * span,
+                                                       run.start + (index + 1) * span)
+                      for run in (calm, seen)]
+            lost = 100 * (shares[0] - shares[1])
+            worst = max(worst, lost)
+            times = [late(run.gateways[name], run.start + index * span, run.start + (index + 1) * span, part)
+                     for part in (0.5, 0.99) for run in (calm, seen)]
+            report.say(f"     {label}: {name}, {phase.name}: on time {shares[1]:.4f} (calm {shares[0]:.4f}), "
+                       f"median {times[1]:.1f} ms ({times[0]:.1f}), 99th {times[3]:.0f} ms ({times[2]:.0f})")
+            if binding:
+                report.bound(f"{name}, {phase.name}: points lost on time", lost, most=2.0)
+    return worst
+
+
+def rules(report: Report, seen: Seen) -> None:
+    """Every task one answer, no exclusive task twice, all within the file's limits."""
+    gateways = [*seen.gateways.values(), seen.lost]
+    report.bound("tasks sent without a final answer", sum(len(g.unanswered()) for g in gateways), most=0)
+    report.bound("tasks answered twice, answers nobody asked for",
+                 sum(len(g.answered_twice()) + g.surplus for g in gateways), most=0)
+    report.bound("exclusive tasks that ran twice", len(seen.ledgers["posting"].twice()), most=0)
+    strangers = sum(1 for name, ledger in seen.ledgers.items() for ran in ledger.ran
+                    if not ran.startswith(f"{name}-"))
+    report.bound("tasks that ran in another pool", strangers, most=0)
+    others = sum(task.status != 404 for task in seen.lost.told if task.answers)
+    report.bound("no route: other answers than 404", others, most=0)
+    report.bound("no route: 99th of the answer, ms", 1000 * seen.lost.latency(0.99, None), most=20)
+    report.bound("descriptors", seen.descriptors, most=DESCRIPTORS)
+    report.bound("memory, MB", seen.memory / 2**20, most=MEMORY)
+    report.bound("lines that say a rule or the program is broken",
+                 seen.log.count("event=broken") + seen.log.count("level=error"), most=0)
+
+
+def bench() -> int:
+    report = Report("pools", __doc__ or "")
+    given = report.options()
+    os.sched_setaffinity(0, apart()[1])  # stand-ins keep off the core of the balancer
+    span = 2.0 if given.short else 10.0
+    plan = phases(given.short)
+    with tempfile.TemporaryDirectory() as folder:
+        where = Path(folder)
+        calm = run(given.seed, [CALM] * len(plan), span, True, where / "calm")
+        seen = run(given.seed, plan, span, True, where / "isolated")
+        off = run(given.seed, plan, span, False, where / "off")
+    worst = compare(report, plan, span, calm, seen, "isolated", True)
+    rules(report, seen)
+    worst_off = compare(report, plan, span, calm, off, "isolation off", False)
+    posting = seen.gateways["posting"]
+    report.figure("points_lost", worst)
+    report.figure("points_lost_isolation_off", worst_off)
+    report.figure("posting_tasks", len(posting.told))
+    report.figure("posting_on_time", posting.share_on_time())
+    report.figure("memory_mb", seen.memory >> 20)
+    report.figure("descriptors", seen.descriptors)
+    report.figure("cpu_s", seen.cpu)
+    report.figure("not_sent", sum(g.not_sent for g in seen.gateways.values()))
+    return report.close()
+
+
+if __name__ == "__main__":
+    main(bench)
--- a/whinpier/__main__.py
+++ b/whinpier/__main__.py
@@ -53,6 +53,10 @@
 
 
 def main() -> int:
+    if os.environ.get("BALANCER_OPERATOR"):
+        # Only here: the platform sets no such file, and pays nothing for what reads it.
+        from whinpier.config import operator
+        return start(operator.reader(os.environ["BALANCER_OPERATOR"]), operator.changes)
     return start(lambda: read(os.environ), changes)
 
 
--- /dev/null
+++ b/whinpier/cli/demo.py
@@ -0,0 +1,101 @@
+"""Plays three pools behind one balancer, with stand-ins; an upstream is stopped in the middle."""
+
+from __future__ import annotations
+
+import tempfile
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+from whinpier.standin.clients import Asks, Gateway
+from whinpier.standin.fleet import Fleet
+from whinpier.standin.ledger import percentile
+from whinpier.standin.load import Load
+from whinpier.standin.process import Balancer, free_address
+from whinpier.standin.upstream import Script
+
+POOLS = {"tariff": ("rerunnable", "GET"), "posting": ("exclusive", "POST"),
+         "settlement": ("ticketed", "POST")}
+WORK = {"tariff": 0.008, "posting": 0.012, "settlement": 0.015}  # seconds of a worker
+STOPPED = "posting-2"
+AGREED, PATIENCE = 0.25, 1.5
+
+
+def operator(listen: str, addresses: dict[str, str]) -> str:
+    """An operator's file for the demonstration."""
+    text = f'version = 1\nname = "demo"\nlisten = ["{listen}"]\n'
+    for name, (kind, method) in POOLS.items():
+        upstreams = ", ".join(f'{{ name = "{up}", address = "{at}" }}'
+                              for up, at in addresses.items() if up.startswith(name))
+        window = '\nwindow = "8s"' if kind == "ticketed" else ""
+        text += f"""
+[pools.{name}]
+upstreams = [{upstreams}]
+[pools.{name}.workloads.{name}]
+kind = "{kind}"
+agreed_time = "{AGREED * 1000:g}ms"
+patience = "{PATIENCE * 1000:g}ms"{window}
+[[routes]]
+name = "{name}"
+host = "{name}.example"
+prefix = "/{name}"
+methods = ["{method}"]
+pool = "{name}"
+"""
+    return text
+
+
+def play(seconds: float, rate: float, seed: int) -> dict[str, Any]:
+    """Run it: what each pool's clients saw before and after an upstream was stopped, and where tasks went."""
+    scripts = {f"{name}-{number}": Script(work=WORK[name]) for name in POOLS for number in (1, 2, 3)}
+    fleet = Fleet(scripts, seed)
+    listen, loads = free_address("127.0.0.1"), dict[str, Load]()
+    with tempfile.TemporaryDirectory() as folder:
+        balancer = Balancer(Path(folder), operator=operator(listen, fleet.addresses), listen=listen)
+        try:
+            balancer.wait_ready()
+            start = time.monotonic() + 0.7
+            for name, (kind, method) in POOLS.items():
+                asks = Asks(name, rate, f"/{name}/1", method, f"{name}.example", PATIENCE, AGREED,
+                            ticket=kind == "ticketed", retries=1)
+                loads[name] = Load(balancer.address, asks, seed, start, seconds)
+            half = start + seconds / 2
+            stop = threading.Timer(max(0.0, half - time.monotonic()), fleet.kill, (STOPPED,))
+            stop.start()
+            seen = {name: load.result() for name, load in loads.items()}
+            stop.join()
+            ledger = fleet.ledger()
+        finally:
+            for load in loads.values():
+                load.stop()
+            balancer.stop()
+            fleet.stop()
+        log = balancer.log()
+    pools = [row(name, part, gateway, begins, ends) for name, gateway in seen.items()
+             for part, begins, ends in (("before", 0.0, half), ("after", half, float("inf")))]
+    twice = len(ledger.twice("posting"))
+    unanswered = sum(len(gateway.unanswered()) for gateway in seen.values())
+    broken = log.count("event=broken") + log.count("level=error")
+    return {"stopped": STOPPED, "pools": pools, "went_to": dict(sorted(ledger.by.items())),
+            "exclusive_twice": twice, "unanswered": unanswered, "broken": broken,
+            "good": not (twice or unanswered or broken)}
+
+
+def row(name: str, part: str, gateway: Gateway, begins: float, ends: float) -> dict[str, Any]:
+    tasks = [task for task in gateway.told if begins <= task.due < ends]
+    times = [1000 * task.latency for task in tasks if task.status == 200]
+    return {"pool": name, "stretch": part, "tasks": len(tasks), "fulfilled": len(times),
+            "turned_back": sum(task.status == 503 for task in tasks),
+            "scrapped": sum(task.status == 502 for task in tasks),
+            "on_time": round(gateway.share_on_time(begins, ends), 4),
+            "median_ms": round(percentile(times, 0.5), 1), "p99_ms": round(percentile(times, 0.99), 1)}
+
+
+def tell(found: dict[str, Any]) -> None:
+    from whinpier.cli.main import show
+
+    show(found["pools"], f"what clients saw, before and after {found['stopped']} was stopped")
+    show([{"upstream": name, "tasks": count} for name, count in found["went_to"].items()], "where tasks ran")
+    print(f"exclusive tasks that ran twice: {found['exclusive_twice']}; "
+          f"without an answer: {found['unanswered']}; rules broken: {found['broken']}")
--- /dev/null
+++ b/whinpier/config/operator.py
@@ -0,0 +1,432 @@
+"""The one place where the operator's file is read, checked as a whole and made into what the process runs by.
+
+Owns its keys and what is said about a faulty one: the file, the key and what is allowed. Not imported without
+such a file. Must never let through a part of a faulty file, or raise anything but a ConfigFault for it.
+"""
+
+from __future__ import annotations
+
+import difflib
+import os
+import re
+import stat
+import tomllib
+from collections.abc import Callable, Iterable
+from dataclasses import fields as fields_of
+from random import SystemRandom
+from typing import Annotated, Any, Literal, TypeVar
+
+import msgspec
+from msgspec import Meta, Struct
+
+from whinpier import model
+from whinpier.decay import SECOND
+from whinpier.routing.table import Route, RouteFault, Table
+from whinpier.runtime.budget import DOOR, MOST_DOOR, spare
+from whinpier.spec import ConfigFault, Entry, Fields, Limits, PoolSpec, Spec, address, differs
+
+LARGEST = 8 * 1024 * 1024  # of the file: ten thousand routes are a tenth of it
+MOST_POOLS, MOST_ROUTES = 256, 20_000  # what is still checked within a second or two
+LEAST = 8  # connections that each pool's guaranteed part has to come to; with fewer nothing can be held apart
+NAME = re.compile(r"[a-z0-9][a-z0-9_-]{0,62}\Z")
+DURATION = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,9})?)(us|ms|s|m|h)\Z")
+UNITS = {"us": 1_000, "ms": 1_000_000, "s": SECOND, "m": 60 * SECOND, "h": 3600 * SECOND}
+TOKEN = re.compile(r"[-!#$%&'*+.^_`|~0-9a-z]+\Z")  # a header's name, in lower case
+KEPT_TILL_RESTART = ("name", "listen", "seed", "sockets", "memory", "isolate")
+
+Whole = Annotated[int, Meta(ge=0, le=2**40)]
+Count = Annotated[int, Meta(ge=1, le=2**31)]
+Part = Annotated[float, Meta(ge=0.0, le=1.0)]
+Amount = Annotated[float, Meta(ge=0.0, le=1e12)]
+Duration = str
+
+
+class Strict(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A table of the file: a key that it does not have is a fault."""
+
+
+class Says(Strict, frozen=True):
+    """Which headers say what; an empty name: none does."""
+
+    id: str = "x-txn"
+    patience: str = "x-remaining"
+    ticket: str = "idempotency-key"
+    key: str = "x-entity"
+    tenant: str = "x-org"
+    repeat: str = "x-resent"
+    query_key: str = "obj"
+    optional: bool = False
+
+
+class WorkloadTable(Strict, frozen=True):
+    """One kind of task."""
+
+    kind: Literal["rerunnable", "ticketed", "exclusive"]
+    agreed_time: Duration
+    patience: Duration
+    payoff: Amount = 1.0
+    late_payoff: Amount = 0.0
+    group: Literal["all", "zone", "cell"] = "all"
+    window: Duration = "0s"
+
+
+class UpstreamTable(Strict, frozen=True):
+    """One upstream of a static list."""
+
+    name: str
+    address: str
+    zone: str = ""
+    kind: str = ""
+    cell: Whole = 0
+    size: Annotated[float, Meta(gt=0.0, le=1e6)] = 1.0
+    state: Literal["ready", "draining"] = "ready"
+    started_ms: Annotated[int, Meta(ge=0, le=2**53)] = 0
+
+
+class LimitsTable(Strict, frozen=True):
+    """What a pool may have of the process."""
+
+    guaranteed: Part | None = None
+    tasks: Count | None = None
+    held: Whole | None = None
+    connections: Count | None = None
+    bodies_kb: Count | None = None
+
+
+class PoolTable(Strict, frozen=True):
+    """One pool."""
+
+    workloads: dict[str, Any]
+    upstreams: list[Any] | None = None
+    discovery: str | None = None
+    limits: LimitsTable = LimitsTable()
+    says: Says = Says()
+    balancers: Count = 1
+    number: Whole = 0
+    zone: str = ""
+    zones: list[str] = []
+    kinds: list[str] = []
+    tenants: list[str] = []
+    hand_offs: Annotated[int, Meta(ge=1, le=16)] = 3
+    second_copies: bool = False
+    cancelling: bool = True
+    warm_keys: bool = False
+    warm_up: Duration = "0s"
+    cold_from: Annotated[float, Meta(gt=0.0, le=1.0)] = 1.0
+    connect_timeout: Duration = "250ms"
+    keepalive: Duration = "60s"
+    statuses: tuple[Annotated[int, Meta(ge=200, le=499)], ...] = (200,)
+    whole: Amount = 1.0
+    worst: Amount = 0.0
+    crossing: Amount = 0.0
+
+
+class RouteTable(Strict, frozen=True):
+    """One route."""
+
+    name: str
+    pool: str
+    host: str = ""
+    path: str | None = None
+    prefix: str | None = None
+    methods: list[Literal["GET", "POST", "PUT", "PATCH", "DELETE"]] = []
+    headers: dict[str, str] = {}
+    lane: str = ""
+    workload: str = ""
+    patience: Duration | None = None
+    says: Says | None = None
+
+
+class ProcessTable(Strict, frozen=True):
+    """What the process has, and shares out among its pools."""
+
+    descriptors: Annotated[int, Meta(ge=64, le=2**20)] = 1024
+    memory_mb: Annotated[int, Meta(ge=32, le=2**20)] = 192
+    isolate: bool = True
+    seed: str = ""
+
+
+class FileTable(Strict, frozen=True):
+    """The whole file."""
+
+    version: Literal[1]
+    listen: list[str]
+    pools: dict[str, Any]
+    routes: list[Any]
+    name: str = "balancer"
+    up: str = "/up"
+    process: ProcessTable = ProcessTable()
+
+
+T = TypeVar("T", bound=Strict)
+
+
+def part(value: Any, kind: type[T], at: str) -> T:
+    """One table of the file, with its place in what is said about a fault."""
+    try:
+        return msgspec.convert(value, kind)
+    except msgspec.ValidationError as fault:
+        what, _, inner = str(fault).partition(" - at `$")
+        path = inner.rstrip("`")
+        key = (at + path if at else path.lstrip(".")) or "file"
+        if unknown := re.search(r"unknown field `(.*)`", what):
+            table: Any = kind
+            for step in re.findall(r"\.(\w+)", path):
+                table = next(f.type for f in msgspec.structs.fields(table) if f.encode_name == step)
+            allowed = [f.encode_name for f in msgspec.structs.fields(table)]
+            near = difflib.get_close_matches(unknown[1], allowed, 1)
+            hint = f" (meant: {near[0]})" if near else ""
+            joined = f"{key}.{unknown[1]}" if key != "file" else unknown[1]
+            raise ConfigFault(f"{joined}: is no key here{hint}; allowed: {', '.join(allowed)}") from None
+        if missing := re.search(r"missing required field `(.*)`", what):
+            joined = f"{key}.{missing[1]}" if key != "file" else missing[1]
+            raise ConfigFault(f"{joined}: is missing") from None
+        raise ConfigFault(f"{key}: {what[:1].lower()}{what[1:]}") from None
+
+
+def duration(text: str, at: str, least: int = 0) -> int:
+    """Nanoseconds of `250ms`, `1.5s`, `2m`. Raises ConfigFault below `least`."""
+    found = DURATION.match(text)
+    if not found:
+        raise ConfigFault(f"{at}: {text!r} is no duration such as 250ms, 1.5s or 2m")
+    span = int(float(found[1]) * UNITS[found[2]])
+    if not least <= span <= 24 * UNITS["h"]:
+        raise ConfigFault(f"{at}: {text!r} is not between {least / UNITS['ms']:g}ms and 24h")
+    return span
+
+
+def named(name: str, at: str) -> str:
+    if not NAME.match(name):
+        raise ConfigFault(f"{at}: {name!r} is no name: small letters, digits, - and _, 63 at most")
+    return name
+
+
+def header(name: str, at: str) -> str:
+    if name and not TOKEN.match(name):
+        raise ConfigFault(f"{at}: {name!r} is no header's name in lower case")
+    return name
+
+
+def says(table: Says, at: str) -> Fields:
+    names = {key: header(getattr(table, key), f"{at}.{key}").encode()
+             for key in ("id", "patience", "ticket", "key", "tenant", "repeat")}
+    given = [name for name in names.values() if name]
+    if len(set(given)) < len(given):
+        raise ConfigFault(f"{at}: one header says two things")
+    if not table.optional and not (names["id"] and names["patience"]):
+        raise ConfigFault(f"{at}: without headers for id and patience, optional has to be true")
+    return Fields(names["id"], names["patience"], names["ticket"], names["key"], names["tenant"],
+                  names["repeat"], table.query_key.encode(), table.optional)
+
+
+def workload(name: str, value: Any, at: str) -> model.Workload:
+    table = part(value, WorkloadTable, at)
+    agreed = duration(table.agreed_time, f"{at}.agreed_time", UNITS["ms"])
+    patience = duration(table.patience, f"{at}.patience", UNITS["ms"])
+    if patience < agreed:
+        raise ConfigFault(f"{at}.patience: is shorter than agreed_time")
+    window = duration(table.window, f"{at}.window")
+    if window and table.kind != "ticketed":
+        raise ConfigFault(f"{at}.window: only a ticketed workload has one")
+    return model.Workload(name, table.kind, agreed, patience, table.payoff, table.late_payoff, table.group,
+                          window)
+
+
+def entries(values: list[Any], table: PoolTable, at: str) -> list[Entry]:
+    found: dict[str, Entry] = {}
+    for index, value in enumerate(values):
+        here = f"{at}[{index}]"
+        given = part(value, UpstreamTable, here)
+        if not given.name or given.name in found:
+            raise ConfigFault(f"{here}.name: {given.name!r} is empty or taken")
+        for key, names in (("zone", table.zones), ("kind", table.kinds)):
+            name = getattr(given, key)
+            if name and name not in names:
+                raise ConfigFault(f"{here}.{key}: {name!r} is not in {key}s of its pool")
+        dial = address(given.address, f"{here}.address")
+        found[given.name] = Entry(given.name, dial, given.state, given.zone, given.kind, given.cell,
+                                  given.size, given.started_ms * 1_000_000)
+    return list(found.values())
+
+
+def pool(name: str, value: Any, guaranteed: float) -> PoolSpec:
+    """What one pool runs by."""
+    at = f"pools.{named(name, 'pools')}"
+    table = part(value, PoolTable, at)
+    if (table.upstreams is None) == (table.discovery is None):
+        raise ConfigFault(f"{at}: either upstreams or discovery says where its list comes from")
+    if not table.workloads:
+        raise ConfigFault(f"{at}.workloads: none is named")
+    if table.zone and table.zone not in table.zones:
+        raise ConfigFault(f"{at}.zone: {table.zone!r} is not in zones")
+    if table.number >= table.balancers:
+        raise ConfigFault(f"{at}.number: {table.number} is not below balancers, {table.balancers}")
+    workloads = [workload(named(key, f"{at}.workloads"), inner, f"{at}.workloads.{key}")
+                 for key, inner in table.workloads.items()]
+    settings: dict[str, Any] = {
+        "balancers": table.balancers, "slot_no": table.number,
+        "zone": table.zones.index(table.zone) if table.zone else 0,
+        "limits.max_hand_offs": table.hand_offs, "limits.second_copies": table.second_copies,
+        "limits.cancelling": table.cancelling, "family_info.warm_keys": table.warm_keys,
+        "rules.cold": duration(table.warm_up, f"{at}.warm_up"), "rules.cold_from": table.cold_from,
+        "goal.whole": table.whole, "goal.worst_class": table.worst, "prices.cross_zone": table.crossing,
+        "report.columns": [],
+    }
+    limits = table.limits
+    if limits.held is not None:
+        settings["limits.held"] = limits.held
+    return PoolSpec(
+        name, settings, workloads, list(table.zones), list(table.kinds), list(table.tenants),
+        connect_limit=duration(table.connect_timeout, f"{at}.connect_timeout", UNITS["ms"]),
+        idle_limit=duration(table.keepalive, f"{at}.keepalive", 100 * UNITS["ms"]),
+        discovery=address(table.discovery, f"{at}.discovery") if table.discovery is not None else None,
+        known=entries(table.upstreams or [], table, f"{at}.upstreams"),
+        limits=Limits(guaranteed, limits.tasks, limits.connections,
+                      limits.bodies_kb * 1024 if limits.bodies_kb else None),
+        passed_on=frozenset(table.statuses))
+
+
+class To(Struct, frozen=True):
+    """Where a route leads."""
+
+    pool: str
+    workload: str
+    patience: int
+    fields: Fields
+
+
+def route(value: Any, at: str, pools: dict[str, PoolSpec], usual: dict[str, Fields]) -> Route:
+    table = part(value, RouteTable, at)
+    at = f"routes.{named(table.name, f'{at}.name')}"
+    if table.pool not in pools:
+        raise ConfigFault(f"{at}.pool: {table.pool!r} is none of {', '.join(pools)}")
+    if table.path is not None and table.prefix is not None:
+        raise ConfigFault(f"{at}: either path or prefix, not both")
+    kinds = {workload.name: workload.kind for workload in pools[table.pool].workloads}
+    name = table.workload or (next(iter(kinds)) if len(kinds) == 1 else "")
+    name = name or (table.lane if table.lane in kinds else "")
+    if name and name not in kinds:
+        raise ConfigFault(f"{at}.workload: {name!r} is none of {', '.join(kinds)}")
+    if name and kinds[name] == model.EXCLUSIVE and table.methods == ["GET"]:
+        raise ConfigFault(f"{at}.methods: GET is for what may be repeated, and {name} is exclusive")
+    fields = says(table.says, f"{at}.says") if table.says else usual[table.pool]
+    if name and kinds[name] == model.TICKETED and not fields.ticket:
+        raise ConfigFault(f"{at}.says.ticket: {name} is ticketed and no header holds its ticket")
+    for key in table.headers:
+        if not header(key, f"{at}.headers"):
+            raise ConfigFault(f"{at}.headers: a header without a name")
+    patience = duration(table.patience, f"{at}.patience", UNITS["ms"]) if table.patience is not None else 0
+    return Route(table.name, table.host, table.path if table.path is not None else table.prefix or "/",
+                 table.path is None, frozenset(table.methods), dict(table.headers), table.lane,
+                 To(table.pool, name, patience, fields))
+
+
+def parts(given: dict[str, Any]) -> dict[str, float]:
+    """The guaranteed part of each pool: what is said, or an even share of what the others leave."""
+    found: dict[str, float | None] = {}
+    for name, value in given.items():
+        limits = value.get("limits") if isinstance(value, dict) else None
+        found[name] = None
+        if limits is not None:
+            found[name] = part(limits, LimitsTable, f"pools.{name}.limits").guaranteed
+    said = [share for share in found.values() if share is not None]
+    rest = 1.0 - sum(said)
+    if rest < -1e-9:
+        raise ConfigFault(f"pools: guaranteed parts come to {sum(said):g}, over 1")
+    even = max(0.0, rest) / max(1, len(found) - len(said))
+    return {name: even if share is None else share for name, share in found.items()}
+
+
+def made(given: Any) -> Spec:
+    """What the process runs by, or a ConfigFault that names the key."""
+    table = part(given, FileTable, "")
+    if not table.pools or len(table.pools) > MOST_POOLS:
+        raise ConfigFault(f"pools: {len(table.pools)} of them; 1 to {MOST_POOLS} are allowed")
+    if len(table.routes) > MOST_ROUTES:
+        raise ConfigFault(f"routes: {len(table.routes)} of them; {MOST_ROUTES} at most are allowed")
+    if not table.listen:
+        raise ConfigFault("listen: names no address")
+    listen = [address(text, f"listen[{index}]") for index, text in enumerate(table.listen)]
+    if len(set(listen)) < len(listen):
+        raise ConfigFault("listen: an address twice")
+    if not re.match(r"/[!-~]*\Z", table.up):
+        raise ConfigFault(f"up: {table.up!r} is no path")
+    try:
+        seed = int(table.process.seed, 16) if table.process.seed else SystemRandom().getrandbits(64)
+    except ValueError:
+        raise ConfigFault(f"process.seed: {table.process.seed!r} is not a hexadecimal number") from None
+    shares = parts(table.pools)
+    pools = {name: pool(name, value, shares[name]) for name, value in table.pools.items()}
+    usual = {name: says(part(value, PoolTable, f"pools.{name}").says, f"pools.{name}.says")
+             for name, value in table.pools.items()}
+    routes = [route(value, f"routes[{index}]", pools, usual) for index, value in enumerate(table.routes)]
+    try:
+        compiled = Table(routes)
+    except RouteFault as fault:
+        raise ConfigFault(f"{', '.join(f'routes.{name}' for name in fault.routes)}: {fault}") from None
+    spec = Spec(table.name, listen, seed, table.process.descriptors, table.process.memory_mb << 20, pools,
+                compiled, table.up.encode(), table.process.isolate)
+    check_room(spec)
+    return spec
+
+
+def check_room(spec: Spec) -> None:
+    """Whether the descriptors come to something for each pool."""
+    left = spec.sockets - spare(spec) - min(spec.sockets // DOOR, MOST_DOOR)
+    need = LEAST * len(spec.pools)
+    if left < need:
+        raise ConfigFault(f"process.descriptors: {spec.sockets} leave {left} for {len(spec.pools)} pools, "
+                          f"which need {need}")
+
+
+def load(path: str) -> Any:
+    """What the file holds. Guards against one that never ends, or keeps whoever opens it waiting."""
+    file = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
+    with open(file, "rb") as opened:
+        if not stat.S_ISREG(os.fstat(file).st_mode):
+            raise ValueError("is no plain file")
+        text = opened.read(LARGEST + 1)
+    if len(text) > LARGEST:
+        raise ValueError(f"is larger than {LARGEST} bytes")
+    return tomllib.loads(text.decode("utf-8"))
+
+
+def read(path: str) -> Spec:
+    """What an operator's file says; a ConfigFault names the file and the key."""
+    try:
+        return made(load(path))
+    except ConfigFault as fault:
+        raise ConfigFault(f"{path}: {fault}") from None
+    except (OSError, ValueError, RecursionError) as fault:
+        raise ConfigFault(f"{path}: {fault}") from None
+    except (ArithmeticError, AttributeError, KeyError, TypeError) as fault:
+        # Guards against a kind of fault that no check has thought of: it must not end a running balancer.
+        raise ConfigFault(f"{path}: {type(fault).__name__}: {fault}") from None
+
+
+def reader(path: str) -> Callable[[], Spec]:
+    return lambda: read(path)
+
+
+def changes(old: Spec, new: Spec) -> Iterable[str]:
+    """Which keys of the process differ and wait for a restart. A seed that is not given is no change."""
+    return [key for key in KEPT_TILL_RESTART if key != "seed" and getattr(old, key) != getattr(new, key)]
+
+
+def differences(old: Spec, new: Spec) -> list[str]:
+    """What a new file changes, by key, for the log and for `config diff`."""
+    lines = [f"pools.{name}: removed" for name in old.pools if name not in new.pools]
+    for name, spec in new.pools.items():
+        if name not in old.pools:
+            lines.append(f"pools.{name}: added")
+            continue
+        lines += [f"pools.{name}.{key}: changed" for key in differs(old.pools[name], spec)]
+    before = {route.name: route for route in (old.table.routes if old.table else [])}
+    after = {route.name: route for route in (new.table.routes if new.table else [])}
+    lines += [f"routes.{name}: removed" for name in before if name not in after]
+    for name, found in after.items():
+        if name not in before:
+            lines.append(f"routes.{name}: added")
+        elif any(getattr(found, key.name) != getattr(before[name], key.name) for key in fields_of(Route)):
+            lines.append(f"routes.{name}: changed")
+    return lines
--- a/whinpier/routing/normal.py
+++ b/whinpier/routing/normal.py
@@ -13,7 +13,7 @@
 SEGMENTS = 64  # of a path; routes have 16 at most
 LABEL = re.compile(r"[a-z0-9_](?:[-a-z0-9_]{0,61}[a-z0-9_])?")
 PORT = re.compile(r":[0-9]{1,5}\Z")
-PLAIN = re.compile(r"/[-A-Za-z0-9_~]*(?:/[-A-Za-z0-9_~]+)*\Z")  # most paths: nothing in them to look at
+PLAIN = re.compile(r"/(?:[-A-Za-z0-9_~]+(?:/[-A-Za-z0-9_~]+)*)?\Z")  # most paths: nothing in them to look at
 UNRESERVED = frozenset("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
 ALLOWED = re.compile(r"[-A-Za-z0-9._~!$&'()*+,;=:@%/]*\Z")  # of a path
 ESCAPE = re.compile(r"%(..?)?")
--- a/whinpier/runtime/budget.py
+++ b/whinpier/runtime/budget.py
@@ -11,7 +11,7 @@
 
 from whinpier.decay import SECOND, Sum
 from whinpier.runtime.loop import MOST_LATE
-from whinpier.spec import Limits
+from whinpier.spec import Limits, Spec
 
 SPARE = 24  # descriptors kept back: the standard ones, listener, discovery, the loop's own; a dozen in all
 DOOR, MOST_DOOR = 8, 64  # one in so many, and the most, for clients turned back at the door: short bursts
@@ -25,6 +25,13 @@
 SPENT = 2 * SECOND  # over which the CPU of pools is compared: some hundred tasks
 
 
+def spare(spec: Spec) -> int:
+    """Descriptors that no client and no upstream gets."""
+    if not spec.routed:
+        return SPARE
+    return SPARE + len(spec.listen) + sum(pool.discovery is not None for pool in spec.pools.values())
+
+
 class Held:
     """What one pool holds of one stock."""
 
@@ -127,12 +134,10 @@
     def __init__(self, sockets: int, memory: int, isolate: bool = True, spare: int = SPARE) -> None:
         self.sockets, self.memory, self.isolate = sockets, memory, isolate
         self.door = min(sockets // DOOR, MOST_DOOR)
-        self.connections = sockets - spare - self.door
-        self.most_clients = int(PART * self.connections)
         self.clients = 0  # connections of clients
         self.parts: list[Part] = []
-        self.tasks = Stock(self.most_clients)
-        self.links = Stock(self.connections - self.most_clients)
+        self.tasks, self.links = Stock(0), Stock(0)
+        self.resize(spare)
         self.bodies = Stock(memory // BODIES * 2)  # bytes of answers
         self.requests = Stock(memory // BODIES)  # bytes of what is asked, whole or not
         self.judged = 0
@@ -141,6 +146,14 @@
         self.idle: Callable[[], Iterable[tuple[int, Part, Callable[[], None]]]] = lambda: ()
         self.roomier: Callable[[], None] = lambda: None  # called when a descriptor has fallen free
 
+    def resize(self, spare: int) -> None:
+        """Keep back so many descriptors; the parts of pools follow."""
+        self.connections = self.sockets - spare - self.door
+        self.most_clients = int(PART * self.connections)
+        self.tasks.capacity, self.links.capacity = self.most_clients, self.connections - self.most_clients
+        for part in self.parts:
+            part.change(part.limits)
+
     def room(self) -> int:
         """How many connections to upstreams there may be, as many clients as there are."""
         return self.connections - min(self.clients, self.most_clients)
--- a/whinpier/runtime/life.py
+++ b/whinpier/runtime/life.py
@@ -20,10 +20,10 @@
 from whinpier import log
 from whinpier.choice import WINDOW
 from whinpier.decay import SECOND, Sum
-from whinpier.runtime.budget import SPARE, Budget, Part
+from whinpier.runtime.budget import Budget, Part, spare
 from whinpier.runtime.loop import MS, Loop
 from whinpier.runtime.pool import Peer, Pool, Taken, Watch
-from whinpier.spec import Address, ConfigFault, Entry, PoolSpec, Spec
+from whinpier.spec import Address, ConfigFault, Entry, PoolSpec, Spec, differs
 
 STILL_COMING = 6 * SECOND // 10  # after SIGTERM new connections go on coming for up to 0.4 s
 # After SIGTERM nothing ends the process sooner than the longest patience and 0.7 s more. The last tenth of
@@ -32,7 +32,6 @@
 AFTERWARDS, CLOSING = 6 * SECOND // 10, 4 * SECOND // 10
 SWEEP = SECOND // 4
 FIGURES = 10 * SECOND  # between lines of figures
-MOST_SPARE = 4  # descriptors for each further pool: its discovery, and one that is being replaced
 
 
 class Front(Protocol):
@@ -69,8 +68,7 @@
     def __init__(self, spec: Spec, wire: Wire, reread: Callable[[], Spec],
                  changed: Callable[[Spec, Spec], Iterable[str]]) -> None:
         self.spec, self.wire, self.reread, self.changed = spec, wire, reread, changed
-        spare = SPARE + (MOST_SPARE * len(spec.pools) + len(spec.listen) if spec.routed else 0)
-        self.budget = Budget(spec.sockets, spec.memory, spec.isolate, spare)
+        self.budget = Budget(spec.sockets, spec.memory, spec.isolate, spare(spec))
         self.loop = Loop(self.budget.judge)
         self.ids: dict[bytes | int, Taken] = {}  # of tasks till the end of their patience, answered or not
         self.cold: dict[tuple[Address, int], Sum] = {}  # what goes to an upstream from all pools, by its run
@@ -140,7 +138,7 @@
             return
         kept = ",".join(self.changed(self.spec, new))
         if new.routed:
-            self.apply(new)
+            self.apply(self.as_run(new))
         else:
             self.follow(new)
         discovery = {} if new.routed else {
@@ -155,16 +153,23 @@
                 pool.spec = replace(pool.spec, discovery=address)
                 pool.source.move(address)
 
+    def as_run(self, new: Spec) -> Spec:
+        """A new file as it can be run by: what waits for a restart is as it was."""
+        old = self.spec
+        return replace(new, name=old.name, listen=old.listen, seed=old.seed, sockets=old.sockets,
+                       memory=old.memory, isolate=old.isolate)
+
     def apply(self, new: Spec) -> None:
         """Pools and routes as the new file has them, in one step between two events of the loop."""
         before, self.spec = self.spec, new
+        self.budget.resize(spare(new))
         for name, spec in new.pools.items():
             if name not in self.pools:
                 self.add(spec).start()
                 log.say("pool_added", pool=name)
-            elif spec != before.pools[name]:
+            elif keys := differs(before.pools[name], spec):
                 self.pools[name].change(spec)
-                log.say("pool_changed", pool=name)
+                log.say("pool_changed", pool=name, keys=",".join(keys))
         leaving = [self.pools.pop(name) for name in list(self.pools) if name not in new.pools]
         self.wire.reroute(self.front, self)
         for pool in leaving:
--- a/whinpier/spec.py
+++ b/whinpier/spec.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from ipaddress import AddressValueError, IPv4Address
 from math import isfinite
 from typing import TYPE_CHECKING, Any
@@ -15,6 +15,8 @@
 Address = tuple[str, int]
 STATES = {"up": READY, "draining": DRAINING, "removed": GONE}
 LATEST = 2**53  # milliseconds: what JSON numbers hold exactly; later times would only upset arithmetic
+CONFIGURED = ("name", "kind", "agreed_time", "patience", "payoff", "late_payoff", "group", "window",
+              "streamed", "stretch")  # of a workload
 PLATFORM = "all"  # the one pool of a process without an operator's file
 
 
@@ -84,6 +86,15 @@
     passed_on: frozenset[int] = frozenset((200,))  # statuses that are an answer, not an error
 
 
+def differs(old: PoolSpec, new: PoolSpec) -> list[str]:
+    """Which keys of a pool differ; workloads by what is configured of them, not by what is known."""
+    found = [key.name for key in fields(PoolSpec) if key.name != "workloads"
+             and getattr(old, key.name) != getattr(new, key.name)]
+    told = [[tuple(getattr(workload, key) for key in CONFIGURED) for workload in spec.workloads]
+            for spec in (old, new)]
+    return found + ["workloads"] * (told[0] != told[1])
+
+
 @dataclass(frozen=True)
 class Spec:
     """The process."""
--- /dev/null
+++ b/whinpier/standin/__main__.py
@@ -0,0 +1,34 @@
+"""`python -m whinpier.standin NAME=PORT ...`: upstreams in a process of their own, told otherwise over HTTP.
+
+Prints one JSON line with the addresses once they listen; ends with standard input.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+
+from whinpier.standin.upstream import Script, Upstream
+
+
+async def serve(given: dict[str, dict[str, object]], seed: int) -> None:
+    upstreams = {}
+    for name, script in given.items():
+        port = int(str(script.pop("port", 0)))
+        upstreams[name] = Upstream(name, Script(**script), seed)  # type: ignore[arg-type]
+        await upstreams[name].start(port)
+    print(json.dumps({name: upstream.address for name, upstream in upstreams.items()}), flush=True)
+    # Ends with whoever started it, also when that is killed.
+    await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
+
+
+def main() -> int:
+    """Reads one line of JSON: the scripts by name, and `seed`."""
+    given = json.loads(sys.stdin.readline())
+    asyncio.run(serve(given["upstreams"], int(given.get("seed", 0))))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/whinpier/standin/process.py
@@ -0,0 +1,109 @@
+"""A balancer as a process of its own, started with a configuration, watched and stopped.
+
+Owns the process, its log and what it cost; ends only what it has started.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+LIMIT = 20.0  # seconds that a start or an end may take
+
+
+def free_address(host: str = "127.0.0.2") -> str:
+    """A port that nobody has just now."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return "%s:%d" % probe.getsockname()
+
+
+class Balancer:
+    """One process of `python -m whinpier`."""
+
+    def __init__(self, folder: Path, operator: str = "", platform: dict[str, Any] | None = None,
+                 listen: str = "", root: Path | None = None, optimised: bool = True,
+                 cores: set[int] | None = None) -> None:
+        """Start it. `operator` is the text of an operator's file, `platform` the platform's configuration."""
+        self.folder, self.listen = folder, listen
+        folder.mkdir(parents=True, exist_ok=True)
+        environment = {key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")}
+        self.file = folder / ("operator.toml" if operator else "config.json")
+        self.file.write_text(operator or json.dumps(platform))
+        environment["BALANCER_OPERATOR" if operator else "BALANCER_CONFIG"] = str(self.file)
+        self.log_file = folder / "log"
+        with self.log_file.open("wb") as errors:
+            self.process = subprocess.Popen(
+                [sys.executable, *(["-O"] if optimised else []), "-m", "whinpier"], env=environment,
+                stderr=errors, stdout=subprocess.DEVNULL, cwd=root)
+        if cores:
+            os.sched_setaffinity(self.process.pid, cores)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        host, _, port = self.listen.rpartition(":")
+        return host, int(port)
+
+    def log(self) -> str:
+        return self.log_file.read_text()
+
+    def wait_ready(self) -> None:
+        """Until it says that it can serve; raises RuntimeError with its log if it does not."""
+        ends = time.monotonic() + LIMIT
+        while time.monotonic() < ends and self.process.poll() is None:
+            try:
+                with socket.create_connection(self.address, 1.0) as sock:
+                    sock.sendall(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+                    if sock.recv(100).startswith(b"HTTP/1.1 200"):
+                        return
+            except OSError:
+                pass
+            time.sleep(0.02)
+        raise RuntimeError(f"not ready: {self.log()}")
+
+    def reload(self, operator: str) -> None:
+        """Put another file in its place and say so; returns once the process has read it."""
+        before = self.said("event=configured ") + self.said("event=configuration_fault ")
+        other = self.file.with_suffix(".new")
+        other.write_text(operator)
+        other.replace(self.file)
+        self.process.send_signal(signal.SIGHUP)
+        ends = time.monotonic() + LIMIT
+        while self.said("event=configured ") + self.said("event=configuration_fault ") <= before:
+            if time.monotonic() > ends or self.process.poll() is not None:
+                raise RuntimeError(f"no word of the new file: {self.log()}")
+            time.sleep(0.01)
+
+    def said(self, text: str) -> int:
+        return self.log().count(text)
+
+    def cpu(self) -> float:
+        """Seconds of CPU since its start."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def memory(self) -> int:
+        """Bytes it holds now."""
+        pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE")
+
+    def descriptors(self) -> int:
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def stop(self, wait: bool = True) -> int | None:
+        """SIGTERM, and SIGKILL if it does not end; its exit code."""
+        if self.process.poll() is None:
+            self.process.terminate() if wait else self.process.kill()
+            try:
+                self.process.wait(LIMIT)
+            except subprocess.TimeoutExpired:
+                self.process.kill()
+                self.process.wait()
+        return self.process.returncode
