--- /dev/null
+++ b/tests/test_pools.py
@@ -0,0 +1,303 @@
+"""Stories of several pools behind one process: it is started with an operator's file and spoken to."""
+
+import asyncio
+import socket
+import time
+from contextlib import contextmanager
+from http.client import HTTPConnection
+from itertools import count as numbers
+
+import pytest
+
+from whinpier.decay import SECOND
+from whinpier.runtime.budget import Budget, Part
+from whinpier.spec import Limits
+from whinpier.standin.clients import Asks, Gateway
+from whinpier.standin.fleet import Fleet
+from whinpier.standin.process import Balancer, free_address
+from whinpier.standin.upstream import Script
+
+LIMIT = 10.0
+USUAL = Script(workers=4, work=0.002)
+ids = numbers(1)
+
+
+def until(holds):
+    ends = time.monotonic() + LIMIT
+    while not (found := holds()):
+        assert time.monotonic() < ends, "it did not come"
+        time.sleep(0.005)
+    return found
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    fleet = Fleet({name: USUAL for name in ("a-1", "a-2", "b-1", "b-2")})
+    yield fleet
+    fleet.stop()
+
+
+class Setting:
+    """An operator's file that a story changes, the process it runs, and what the story asks of it."""
+
+    def __init__(self, folder, fleet, **process):
+        self.fleet, self.listen = fleet, free_address()
+        for name in fleet.addresses:
+            fleet.tell(name, hang=0.0, error=0.0, size=2, work=0.002, workers=4)
+        self.process = {"descriptors": 256} | process
+        self.pools = {name: self.pool([f"{name}-1", f"{name}-2"]) for name in ("a", "b")}
+        self.routes = [{"name": name, "host": name, "pool": name} for name in self.pools]
+        self.balancer = Balancer(folder, operator=self.text(), listen=self.listen, optimised=False)
+        self.balancer.wait_ready()
+
+    def pool(self, names, states=(), kind="exclusive", **more):
+        upstreams = [{"name": name, "address": self.fleet.addresses[name],
+                      "state": dict(states).get(name, "ready")} for name in names]
+        workload = {"kind": kind, "agreed_time": "500ms", "patience": "2s"}
+        return {"upstreams": upstreams, "workloads": {"w": workload}} | more
+
+    def text(self):
+        lines = [f'version = 1\nlisten = ["{self.listen}"]', f"process = {toml(self.process)}"]
+        lines += [f"[pools.{name}]\n" + "\n".join(f"{key} = {toml(value)}" for key, value in pool.items())
+                  for name, pool in self.pools.items()]
+        lines += ["[[routes]]\n" + "\n".join(f"{key} = {toml(value)}" for key, value in route.items())
+                  for route in self.routes]
+        return "\n".join(lines) + "\n"
+
+    def reload(self):
+        self.balancer.reload(self.text())
+
+    def client(self):
+        return HTTPConnection(*self.balancer.address, timeout=LIMIT)
+
+    def ask(self, host, path="/x", method="POST", client=None, body=b"{}", **headers):
+        client = client or self.client()
+        given = {"Host": host, "X-Txn": f"t{next(ids)}", "X-Remaining": "1.5"} | headers
+        client.request(method, path, body if method != "GET" else None,
+                       {name: value for name, value in given.items() if value is not None})
+        answer = client.getresponse()
+        answer.body = answer.read()
+        return answer
+
+    def ran(self, name):
+        """Ids that an upstream did."""
+        return self.fleet.tell(name)["ran"]
+
+    def by(self, host, **more):
+        return self.ask(host, **more).headers["X-By"][0]
+
+
+def toml(value):
+    if isinstance(value, dict):
+        return "{ %s }" % ", ".join(f"{key} = {toml(inner)}" for key, inner in value.items())
+    if isinstance(value, (list, tuple)):
+        return "[%s]" % ", ".join(map(toml, value))
+    return str(value).lower() if isinstance(value, bool) else repr(value).replace("'", '"')
+
+
+@contextmanager
+def setting(folder, fleet, **process):
+    made = Setting(folder, fleet, **process)
+    try:
+        yield made
+    finally:
+        made.balancer.stop(wait=False)
+    log = made.balancer.log()
+    assert "event=broken" not in log and "level=error" not in log, log
+
+
+def test_each_pool_gets_what_its_route_says_and_what_has_none_is_answered_at_once(tmp_path, fleet):
+    with setting(tmp_path, fleet) as bank:
+        assert [bank.by("a"), bank.by("B:80"), bank.by("a.")] == ["a", "b", "a"]
+        client = bank.client()  # one connection, two hosts
+        assert [bank.by(host, client=client) for host in "abab"] == list("abab")
+        began, lost = time.monotonic(), bank.ask("c", client=client)
+        assert (lost.status, lost.body) == (404, b"no route: host or path not known\n")
+        assert time.monotonic() - began < 0.2 and bank.by("a", client=client) == "a"  # it may go on asking
+        for path in ("/a/../b", "/%2e%2e/b", "//b", "/a%2fb"):
+            assert bank.ask("a", path).status == 400
+        assert bank.ask("a, b").status == 400 and bank.ask("a", method="HEAD").status == 405
+
+
+def test_tasks_of_two_pools_sent_at_once_on_one_connection_are_answered_in_turn(tmp_path, fleet):
+    task = "POST /x HTTP/1.1\r\nHost: %s\r\nX-Txn: p%d\r\nX-Remaining: 1\r\nContent-Length: 0\r\n%s\r\n"
+    with setting(tmp_path, fleet) as bank, socket.create_connection(bank.balancer.address, LIMIT) as sock:
+        fleet.tell("a-1", work=0.1, workers=1)
+        fleet.tell("a-2", work=0.1, workers=1)
+        sock.sendall((task % ("a", 1, "") + task % ("b", 2, "") + task % ("none", 3, "")
+                      + task % ("a", 4, "Connection: close\r\n")).encode())
+        said = sock.makefile("rb").read().decode()
+    statuses = [line.split()[1] for line in said.splitlines() if "HTTP/1.1" in line]
+    assert statuses == ["200", "200", "404", "200"]
+    assert [line[6] for line in said.lower().splitlines() if line.startswith("x-by: ")] == ["a", "b", "a"]
+
+
+def test_a_route_says_which_headers_say_what_how_long_is_waited_and_which_statuses_pass(tmp_path, fleet):
+    with setting(tmp_path, fleet) as bank:
+        bank.pools["a"] |= {"statuses": [200, 500][:1]}
+        says = {"id": "x-request-id", "patience": "x-timeout", "ticket": "", "optional": True}
+        bank.routes[0] |= {"says": says, "patience": "300ms", "headers": {"x-partner": "*"}}
+        bank.reload()
+        assert bank.ask("a").status == 404
+        partner = {"x-partner": "p", "X-Txn": None, "X-Remaining": None}
+        assert bank.ask("a", **partner).status == 200
+        assert bank.ask("a", **partner, **{"x-request-id": "r1", "x-timeout": "1"}).status == 200
+        assert bank.ask("a", **partner, **{"x-request-id": "r1"}).status == 409
+        assert bank.ask("a", **partner, **{"x-timeout": "soon"}).status == 400
+        fleet.tell("a-1", hang=1.0)
+        fleet.tell("a-2", hang=1.0)
+        began = time.monotonic()
+        assert bank.ask("a", **partner).status == 502 and time.monotonic() - began < 0.8
+
+
+def test_a_pool_whose_upstreams_hang_with_all_it_may_have_in_use_keeps_no_other_waiting(tmp_path, fleet):
+    with setting(tmp_path, fleet, descriptors=96) as bank:
+        fleet.tell("a-1", hang=1.0)
+        fleet.tell("a-2", hang=1.0)
+        hangs = Asks(f"hung{next(ids)}", 150, "/x", host="a", patience=1.5)
+        works = Asks(f"well{next(ids)}", 60, "/x", host="b")
+        gateways = [Gateway(bank.balancer.address, asks, 1) for asks in (hangs, works)]
+
+        async def both():
+            await asyncio.gather(*(gateway.run(2.0) for gateway in gateways))
+
+        asyncio.run(both())
+        hung, well = gateways
+        assert well.share_on_time() > 0.97 and hung.share_on_time() < 0.2
+        assert not hung.unanswered() and not hung.answered_twice() and hung.surplus == 0
+        assert all(task.status in (502, 503) or task.on_time(0.5) for task in hung.told if task.answers)
+
+
+def test_a_pool_that_is_taken_out_finishes_its_tasks_while_its_route_leads_elsewhere(tmp_path, fleet):
+    with setting(tmp_path, fleet) as bank:
+        fleet.tell("a-1", work=0.6, workers=1, spread="constant")
+        fleet.tell("a-2", work=0.6, workers=1, spread="constant")
+        client, before = bank.client(), sum(fleet.tell(name)["met"] for name in ("a-1", "a-2"))
+        client.request("POST", "/x", b"{}", {"Host": "a", "X-Txn": f"out{before}", "X-Remaining": "2"})
+        until(lambda: sum(fleet.tell(name)["met"] for name in ("a-1", "a-2")) > before)
+        del bank.pools["a"]
+        bank.routes[0]["pool"] = "b"
+        bank.reload()
+        assert [bank.by("a") for _ in range(5)] == ["b"] * 5
+        answer = client.getresponse()
+        assert (answer.status, answer.read(), answer.headers["X-By"][0]) == (200, b"ok", "a")
+        until(lambda: bank.balancer.said("event=pool_ended pool=a"))
+        assert fleet.ledger().twice("out") == []
+        bank.pools["a"] = bank.pool(["a-1"])
+        bank.routes[0]["pool"] = "a"
+        bank.reload()
+        assert bank.by("a") == "a"
+        fleet.tell("a-1", spread="exponential")
+        fleet.tell("a-2", spread="exponential")
+
+
+def test_reloads_under_load_lose_no_answer_and_run_nothing_twice(tmp_path, fleet):
+    with setting(tmp_path, fleet) as bank:
+        names = [f"moved{next(ids)}", f"stays{next(ids)}"]
+        address = bank.balancer.address
+        gateways = [Gateway(address, Asks(name, 150, "/x", host=host), 1)
+                    for name, host in zip(names, "ab")]
+
+        async def reload():
+            for turn in range(8):
+                await asyncio.sleep(0.25)
+                bank.routes[0]["pool"] = "ab"[turn % 2]
+                bank.pools["c"] = bank.pool(["a-1"], kind="ticketed")
+                bank.pools["a"] = bank.pool(["a-1", "a-2"][:1 + turn % 2], hand_offs=1 + turn % 3)
+                if turn % 3 == 2:
+                    del bank.pools["c"]
+                await asyncio.to_thread(bank.reload)
+
+        async def story():
+            await asyncio.gather(*(gateway.run(2.5) for gateway in gateways), reload())
+
+        asyncio.run(story())
+        ledger = fleet.ledger()
+        for gateway in gateways:
+            assert {task.status for task in gateway.told} == {200} and gateway.surplus == 0
+            assert all(task.answers == 1 for task in gateway.told)
+        assert ledger.twice(names[0]) == ledger.twice(names[1]) == []
+        assert bank.balancer.said("event=configured") == 8
+
+
+def test_a_faulty_file_changes_nothing_and_is_said_with_its_key(tmp_path, fleet):
+    with setting(tmp_path, fleet) as bank:
+        bank.routes[0]["pool"] = "nowhere"
+        bank.pools["b"]["upstreams"] = bank.pools["a"]["upstreams"]
+        bank.reload()
+        assert bank.balancer.said("routes.a.pool: 'nowhere' is none of a, b") == 1
+        assert [bank.by("a"), bank.by("b")] == ["a", "b"]
+
+
+def test_an_upstream_of_two_pools_may_drain_in_one_and_not_in_the_other(tmp_path, fleet):
+    with setting(tmp_path, fleet) as bank:
+        bank.pools["b"] = bank.pool(["a-1", "b-1"])
+        bank.pools["a"] = bank.pool(["a-1", "a-2"], states={"a-1": "draining"})
+        bank.reload()
+        before = len(bank.ran("a-1"))
+        assert {bank.ask("a").headers["X-By"] for _ in range(20)} == {"a-2"}
+        assert len(bank.ran("a-1")) == before
+        assert "a-1" in {bank.ask("b").headers["X-By"] for _ in range(40)}
+
+
+def test_fifty_pools_and_a_thousand_routes_fit_in_64_mb(tmp_path, fleet):
+    with setting(tmp_path, fleet, descriptors=1024, memory_mb=64) as bank:
+        bank.pools = {f"p{number}": bank.pool(["a-1", "b-1"]) for number in range(50)}
+        bank.routes = [{"name": f"r{number}", "host": f"h{number}.example", "prefix": "/x/{n}",
+                        "pool": f"p{number % 50}"} for number in range(1000)]
+        bank.reload()
+        some = [f"h{number}.example" for number in range(0, 1000, 99)]
+        assert {bank.ask(host, "/x/1/y").status for host in some} == {200}
+        assert bank.balancer.memory() < 64 << 20
+
+
+def parts(budget, *limits):
+    return [Part(budget, limit) for limit in limits]
+
+
+def test_a_pool_always_gets_its_part_and_what_is_unused_is_lent_but_for_a_quarter():
+    budget = Budget(1024, 64 << 20)
+    budget.clients = budget.most_clients
+    first, second = parts(budget, Limits(0.5), Limits(0.5))
+    whole, half = budget.links.capacity, first.links.guaranteed
+    lent = 0
+    while first.links.take():
+        lent += 1
+    assert lent == whole - int(0.25 * half) and first.links.borrowed() == lent - half
+    taken = 0
+    while second.links.take():
+        taken += 1
+    assert taken == whole - lent  # the quarter at once, the rest as it falls free
+    assert budget.called_back(first) and not budget.called_back(second)
+    for _ in range(lent - half):
+        first.links.give()
+        assert second.links.take() and not first.links.take()
+    assert not first.links.borrowed() and (first.links.used, second.links.used) == (half, whole - half)
+
+
+def test_a_pool_keeps_to_its_own_limit_and_one_that_ends_gives_its_part_back():
+    budget = Budget(1024, 64 << 20)
+    first, second = parts(budget, Limits(0.5, tasks=7), Limits(0.5))
+    assert [first.tasks.take() for _ in range(8)] == [True] * 7 + [False]
+    second.end()
+    assert budget.tasks.kept == first.tasks.kept() and budget.parts == [first]
+    for _ in range(7):
+        first.tasks.give()
+    first.end()
+    assert budget.tasks.kept == budget.tasks.used == 0 and not budget.tasks.held
+
+
+def test_when_the_core_is_full_who_uses_more_than_its_part_is_turned_back_first():
+    budget = Budget(1024, 64 << 20)
+    small, large = parts(budget, Limits(0.5), Limits(0.5))
+    now = SECOND
+    for turn in range(20):
+        now += SECOND // 10
+        small.spent.add(now, 1e6)
+        large.spent.add(now, 9e6)
+        budget.judge(now, SECOND // 5)
+    assert small.shed == 0.0 and large.shed > 0.9
+    for turn in range(100):
+        now += SECOND // 10
+        budget.judge(now, 0)
+    assert large.shed == 0.0
--- a/whinpier/config/operator.py
+++ b/whinpier/config/operator.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import fields as fields_of
 from random import SystemRandom
-from typing import Annotated, Any, Literal, TypeVar
+from typing import Annotated, Any, Literal, TypeVar, get_args, get_origin
 
 import msgspec
 from msgspec import Meta, Struct
@@ -27,7 +27,7 @@
 
 LARGEST = 8 * 1024 * 1024  # of the file: ten thousand routes are a tenth of it
 MOST_POOLS, MOST_ROUTES = 256, 20_000  # what is still checked within a second or two
-LEAST = 8  # connections that each pool's guaranteed part has to come to; with fewer nothing can be held apart
+LEAST = 16  # connections for each pool: with fewer nothing can be held apart
 NAME = re.compile(r"[a-z0-9][a-z0-9_-]{0,62}\Z")
 DURATION = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,9})?)(us|ms|s|m|h)\Z")
 UNITS = {"us": 1_000, "ms": 1_000_000, "s": SECOND, "m": 60 * SECOND, "h": 3600 * SECOND}
@@ -170,10 +170,7 @@
         path = inner.rstrip("`")
         key = (at + path if at else path.lstrip(".")) or "file"
         if unknown := re.search(r"unknown field `(.*)`", what):
-            table: Any = kind
-            for step in re.findall(r"\.(\w+)", path):
-                table = next(f.type for f in msgspec.structs.fields(table) if f.encode_name == step)
-            allowed = [f.encode_name for f in msgspec.structs.fields(table)]
+            allowed = [field.encode_name for field in msgspec.structs.fields(type_at(kind, path))]
             near = difflib.get_close_matches(unknown[1], allowed, 1)
             hint = f" (meant: {near[0]})" if near else ""
             joined = f"{key}.{unknown[1]}" if key != "file" else unknown[1]
@@ -181,9 +178,26 @@
         if missing := re.search(r"missing required field `(.*)`", what):
             joined = f"{key}.{missing[1]}" if key != "file" else missing[1]
             raise ConfigFault(f"{joined}: is missing") from None
+        if wrong := re.search(r"[Ii]nvalid enum value (.*)", what):
+            allowed = literals(type_at(kind, path))
+            raise ConfigFault(f"{key}: {wrong[1]} is none of {', '.join(allowed)}") from None
         raise ConfigFault(f"{key}: {what[:1].lower()}{what[1:]}") from None
 
 
+def type_at(kind: Any, path: str) -> Any:
+    """The type of the field that a path such as `.limits.tasks` or `.methods[0]` leads to."""
+    for step in re.findall(r"\.(\w+)", path):
+        kind = next(field.type for field in msgspec.structs.fields(kind) if field.encode_name == step)
+    return kind
+
+
+def literals(kind: Any) -> list[str]:
+    """The values that a type allows, wherever in it they are named."""
+    if get_origin(kind) is Literal:
+        return [str(value) for value in get_args(kind)]
+    return [value for inner in get_args(kind) for value in literals(inner)]
+
+
 def duration(text: str, at: str, least: int = 0) -> int:
     """Nanoseconds of `250ms`, `1.5s`, `2m`. Raises ConfigFault below `least`."""
     found = DURATION.match(text)
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -80,6 +80,7 @@
         self.since = door.loop.clock()  # since when it is here, is idle, is read, is answered for good
         self.task: Asked | None = None
         self.to: tuple[Target, Workload] | None = None  # where what is asked for goes
+        self.lost: BadRequest | None = None  # why it goes nowhere
         self.paid: Part | None = None  # whose bodies its own counts among
         self.left = memoryview(b"")
         self.reading, self.begun, self.last, self.closed = False, False, False, False
@@ -128,11 +129,17 @@
 
     def find_way(self) -> None:
         """Where it goes, by its head alone: what goes nowhere is refused before its body has come."""
-        up = self.target == self.door.up
-        self.to = None if up else self.door.router.route(self.method, self.target, self.headers)
+        self.to, self.lost = None, None
+        if self.target != self.door.up:
+            try:
+                self.to = self.door.router.route(self.method, self.target, self.headers)
+            except BadRequest as bad:
+                if bad.last:
+                    raise
+                self.lost = bad  # its client may go on asking, if the rest of this is here already
 
     def take_body(self, data: bytes) -> None:
-        if not data:
+        if not data or self.lost:
             return
         if self.size + len(data) > BODY:
             raise BadRequest(413, "body too large")
@@ -157,6 +164,8 @@
                 elif isinstance(event, h11.EndOfMessage):
                     self.reading = self.begun = False
                     self.request()
+                elif self.lost:
+                    raise self.lost
                 else:
                     self.reading = self.begun or bool(self.parser.trailing_data[0])
                     if self.parser.they_are_waiting_for_100_continue:
@@ -180,6 +189,8 @@
     def request(self) -> None:
         """A whole request: a question of the front, or a task."""
         self.door.strangers.pop(self, None)
+        if self.lost:
+            raise self.lost
         if self.to is None:
             ready = self.door.ready()
             self.answer(200 if ready else 503, b"up\n" if ready else b"starting\n")
