--- a/benchmarks/pools.py
+++ b/benchmarks/pools.py
@@ -187,6 +187,61 @@
                  seen.log.count("event=broken") + seen.log.count("level=error"), most=0)
 
 
+def reloads(report: Report, seed: int, span: float, folder: Path) -> None:
+    """Pools added, moved and taken out under load, many times; no answer is lost, nothing runs twice."""
+    work = {name: PER_POOL * 4 / CAPACITY[name] for name in KINDS}
+    fleets = {name: Fleet({f"{name}-{n}": Script(work=work[name]) for n in range(PER_POOL)}, seed)
+              for name in KINDS}
+    listen, loads = free_address(), dict[str, Load]()
+    usual = operator(listen, fleets, True)
+    # Another pool in the place of the posting pool, with the same upstreams; its route leads there.
+    moved = usual.replace("[pools.posting", "[pools.replacement").replace('pool = "posting"',
+                                                                          'pool = "replacement"')
+    more = usual + "\n".join(f"""
+[pools.more-{number}]
+upstreams = {upstream_list(fleets["tariff"].addresses)}
+[pools.more-{number}.workloads.more]
+kind = "rerunnable"
+agreed_time = "100ms"
+patience = "1s"
+[[routes]]
+name = "more-{number}"
+host = "more-{number}.example"
+pool = "more-{number}"
+""" for number in range(5))
+    faulty = usual.replace('kind = "exclusive"', 'kind = "sometimes"')
+    balancer = Balancer(folder, operator=usual, listen=listen, cores={apart()[0]})
+    turns = 0
+    try:
+        balancer.wait_ready()
+        start = time.monotonic() + 1.0
+        for name, kind in KINDS.items():
+            loads[name] = Load(balancer.address, Asks(
+                name, USUAL[name], f"/{name}/x", "GET" if kind == "rerunnable" else "POST", f"{name}.example",
+                PATIENCE, AGREED, ticket=kind == "ticketed"), seed, start, span, most=1000)
+        time.sleep(max(0.0, start - time.monotonic()))
+        while time.monotonic() < start + span - 0.5:
+            balancer.reload((moved, more, faulty, usual)[turns % 4])
+            turns += 1
+            time.sleep(0.2)
+        seen = [load.result() for load in loads.values()]
+        ledgers = {name: fleet.ledger() for name, fleet in fleets.items()}
+        report.bound("reloads: tasks without a final answer", sum(len(g.unanswered()) for g in seen), most=0)
+        twice = sum(len(g.answered_twice()) + g.surplus for g in seen)
+        report.bound("reloads: tasks answered twice", twice, most=0)
+        report.bound("reloads: exclusive tasks that ran twice", len(ledgers["posting"].twice()), most=0)
+        report.bound("reloads: least on time of a pool", min(g.share_on_time() for g in seen), least=0.95)
+        report.bound("reloads: lines that say a rule or the program is broken",
+                     balancer.said("event=broken") + balancer.said("level=error"), most=0)
+        report.figure("reloads", turns)
+    finally:
+        for load in loads.values():
+            load.stop()
+        balancer.stop()
+        for fleet in fleets.values():
+            fleet.stop()
+
+
 def bench() -> int:
     report = Report("pools", __doc__ or "")
     given = report.options()
@@ -198,6 +253,7 @@
         calm = run(given.seed, [CALM] * len(plan), span, True, where / "calm")
         seen = run(given.seed, plan, span, True, where / "isolated")
         off = run(given.seed, plan, span, False, where / "off")
+        reloads(report, given.seed, 3.0 if given.short else 20.0, where / "reloads")
     worst = compare(report, plan, span, calm, seen, "isolated", True)
     rules(report, seen)
     worst_off = compare(report, plan, span, calm, off, "isolation off", False)
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,33 @@
+"""Imports run one way: decisions, runtime, protocols, operation; nobody imports what stands aside."""
+
+import ast
+from pathlib import Path
+
+LAYERS = [  # from below; a module may import from its own layer and from those before it
+    ("decay", "model", "log", "spec", "settings", "routing"),
+    ("choice",),
+    ("runtime",),
+    ("net", "simhost"),
+    ("config",),
+    ("__main__",),
+    ("standin", "cli"),
+]
+
+
+def layer(name):
+    return next(place for place, parts in enumerate(LAYERS) if name in parts)
+
+
+def test_imports_run_downward():
+    for file in Path("whinpier").rglob("*.py"):
+        own = file.relative_to("whinpier").with_suffix("").parts[0]
+        if own == "__init__":
+            continue
+        for node in ast.walk(ast.parse(file.read_text())):
+            names = [alias.name for alias in node.names] if isinstance(node, ast.Import) else []
+            if isinstance(node, ast.ImportFrom) and node.module:
+                names = [f"{node.module}.{alias.name}" for alias in node.names]
+            for name in names:
+                parts = name.split(".")
+                if parts[0] == "whinpier" and len(parts) > 1:
+                    assert layer(parts[1]) <= layer(own), f"{file} imports {name}"
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -9,7 +9,10 @@
 
 import pytest
 
-from whinpier.decay import SECOND
+from tests.fake_host import MS, FakeHost
+from whinpier.choice import WINDOW
+from whinpier.decay import SECOND, Sum
+from whinpier.model import READY, Upstream, Workload
 from whinpier.runtime.budget import Budget, Part
 from whinpier.spec import Limits
 from whinpier.standin.clients import Asks, Gateway
@@ -301,3 +304,39 @@
         now += SECOND // 10
         budget.judge(now, 0)
     assert large.shed == 0.0
+
+
+def test_what_goes_to_a_cold_upstream_counts_over_all_pools_that_list_it():
+    hosts = [FakeHost(count=4, seed=seed) for seed in (1, 2)]
+    for host in hosts:
+        host.traffic(8 * SECOND)
+    alone, both = [], []
+    for shared, found in ((False, alone), (True, both)):
+        for number, host in enumerate(hosts):
+            fresh = Upstream(100 + shared, READY, 0, 0, host.now)
+            fresh.sends = both[0] if shared and number else Sum(WINDOW, host.now)
+            found.append(fresh.sends)
+            host.choice.listed([*host.upstreams, fresh])
+        for _ in range(100):  # the two in turn, as in one process
+            for host in hosts:
+                host.traffic(10 * MS)
+        sent = sum(handed.upstream.id == 100 + shared for host in hosts for handed in host.sent)
+        found.append(sent)
+    assert 0 < both[-1] < 0.75 * alone[-1]
+
+
+def test_settings_that_change_keep_what_is_known_and_a_task_keeps_the_rules_it_came_under():
+    host = FakeHost("exclusive", 3)
+    host.traffic(4 * SECOND)
+    known, task = [up.seen for up in host.upstreams], host.task()
+    other = Workload("other", "rerunnable", 400 * MS, 2000 * MS, 1.0)
+    host.choice.change({"limits.max_hand_offs": 1, "limits.held": 0}, [other])
+    assert [up.seen for up in host.upstreams] == known and all(seen.answers.value > 1 for seen in known)
+    host.came_back(task.hand_offs[0], "reset")
+    assert host.answers[task.id] == "scrapped"  # it came as exclusive
+    host.workload = other
+    again = host.task()
+    host.came_back(again.hand_offs[0], "full")
+    assert len(again.hand_offs) == 1 and host.answers[again.id] == "turned back"  # one hand-off, nothing held
+    host.traffic(2 * SECOND)
+    assert list(host.choice.entry.held) == [other]
--- a/whinpier/__main__.py
+++ b/whinpier/__main__.py
@@ -9,12 +9,15 @@
 from collections.abc import Callable, Iterable
 
 import anyio
+import h11  # noqa: F401
 
+# From below upwards: imports that nest leave 0.7 MB more behind than those that do not (measured, of 27).
 from whinpier import log
+from whinpier.spec import ConfigFault, Spec
+from whinpier.choice import Choice  # noqa: F401
+from whinpier.runtime.life import Life
 from whinpier.config.platform import changes, read
 from whinpier.net.wire import Http1
-from whinpier.runtime.life import Life
-from whinpier.spec import ConfigFault, Spec
 
 BACKLOG = 1024
 
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -303,7 +303,8 @@
             if upstream.seen is None:
                 seen = upstream.seen = Seen(upstream, self.host.now, self.span)
                 # Guards against hundreds of balancers that each send a fresh upstream its first task at once.
-                seen.sends.value += self.cold_bound(seen) + self.random() if self.ready else 0.0
+                start = self.cold_bound(seen) + self.random() if self.ready else 0.0
+                seen.sends.value = max(seen.sends.value, start)
         ready = sorted((up.seen for up in upstreams if up.state == READY), key=lambda seen: seen.upstream.id)
         # Who joins a list is taken up by chance, so that it meets as many balancers as the others.
         part = self.want(len(ready)) / max(1, len(ready)) if self.ready else 0.0
--- a/whinpier/config/platform.py
+++ b/whinpier/config/platform.py
@@ -145,7 +145,8 @@
 
 def changes(old: Spec, new: Spec) -> list[str]:
     """Which keys a new configuration has otherwise. The seed and the list of `known` are for a start only."""
-    passed_over = ("seed", "known", "seq", "workloads", "pools")  # workloads are settings too
+    # Workloads are settings too; discovery is followed at once.
+    passed_over = ("seed", "known", "seq", "workloads", "pools", "discovery")
     pairs = ((old, new), (old.pools[PLATFORM], new.pools[PLATFORM]))
     return [key.name for before, after in pairs for key in fields(before)
             if key.name not in passed_over and getattr(before, key.name) != getattr(after, key.name)]
--- a/whinpier/net/door.py
+++ b/whinpier/net/door.py
@@ -19,6 +19,7 @@
 from whinpier.runtime.pool import Pool
 
 SWEEP = SECOND // 4  # between looks at what waits too long: what is owed within 3 s is given after 2
+AT_ONCE = 32  # clients taken in before others have their turn: some 3 ms
 UNUSED = SECOND // 10  # a connection idle for less may be about to be used again
 SILENT = SECOND // 20  # who has come asks at once: the way from a client, many times over
 
@@ -97,8 +98,11 @@
         budget = self.budget
         if len(self.clients) >= budget.most_clients:
             self.let_go()
+        budget.make_room()
+        # Guards against clients without end where few connections to upstreams are open, so that the whole
+        # never seems full.
         most = min(budget.most_clients, budget.connections - budget.links.used) + budget.door
-        if not budget.make_room() and len(self.clients) >= most:
+        if len(self.clients) >= most:
             return False
         sock, _ = listener.accept()
         sock.setblocking(False)
@@ -115,8 +119,13 @@
         while True:
             await anyio.wait_readable(listener)
             try:
-                while self.welcome(listener):
-                    pass
+                for _ in range(AT_ONCE):
+                    if not self.welcome(listener):
+                        break
+                else:
+                    # Guards against clients that come faster than they are taken in: alarms would never ring.
+                    await anyio.sleep(0)
+                    continue
                 log.warn("descriptors_used_up", clients=len(self.clients), links=self.budget.links.used)
                 self.space = anyio.Event()
                 with anyio.move_on_after(0.1):
--- a/whinpier/runtime/budget.py
+++ b/whinpier/runtime/budget.py
@@ -123,7 +123,7 @@
             self.budget.parts.remove(self)
 
     def figures(self) -> Mapping[str, object]:
-        return {"tasks": self.tasks.used, "tasks_guaranteed": self.tasks.guaranteed,
+        return {"out": self.tasks.used, "out_guaranteed": self.tasks.guaranteed,
                 "links": self.links.used, "links_guaranteed": self.links.guaranteed,
                 "bodies": self.bodies.used, "shed": round(self.shed, 2)}
 
--- a/whinpier/runtime/life.py
+++ b/whinpier/runtime/life.py
@@ -113,6 +113,12 @@
             return None
         return self.cold.setdefault((entry.dial, entry.started), Sum(WINDOW, self.loop.clock()))
 
+    def since(self, dial: Address) -> int:
+        """Since when an upstream that a file newly names counts as started: now, or as another pool says."""
+        known = (peer.started for pool in self.pools.values() for peer in pool.held.values()
+                 if peer.address == dial)
+        return next(known, self.loop.clock())
+
     def idle(self) -> Iterable[tuple[int, Part, Callable[[], None]]]:
         for pool in (*self.pools.values(), *self.going):
             for peer in pool.peers():
@@ -198,7 +204,7 @@
         for pool in pools:
             log.must(pool.on_wire() == pool.choice.split.total, "what is counted as out is out on a socket")
             if self.spec.routed:
-                log.say("pool", pool=pool.name, out=pool.out, **pool.part.figures(), **pool.counts)
+                log.say("pool", pool=pool.name, **pool.part.figures(), **pool.counts)
         log.say("figures", out=sum(pool.out for pool in pools), **self.front.figures(),
                 links=self.budget.links.used, alarms=len(self.loop.alarms), lag_ms=self.loop.lag // MS,
                 collect_ms=self.stopped // MS, cpu_s=round(time.process_time(), 2), **log.counts)
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -10,6 +10,7 @@
 import hashlib
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
+from dataclasses import replace
 from typing import Any, Protocol
 
 from whinpier import log
@@ -117,6 +118,8 @@
 
     def shared(self, entry: Entry) -> Any: ...
 
+    def since(self, dial: Address) -> int: ...
+
 
 def hashed(text: bytes) -> int:
     """The same number for the same text at every balancer."""
@@ -317,6 +320,7 @@
     def told(self, entries: Iterable[Entry], whole: bool, cached: bool = False) -> None:
         """Follow what a list says; a restart of an upstream is a new one in its place."""
         entries = list(entries)
+        fresh = self.told_once and not self.source and bool(self.spec.settings.get("rules.cold"))
         self.told_once = self.told_once or not cached
         if not entries and not whole:
             return  # nothing has changed
@@ -327,6 +331,9 @@
                 held.pop(entry.host, None)
                 continue
             if peer is None or (entry.started and entry.started != peer.started):
+                if peer is None and fresh and not entry.started:
+                    # Guards against pushing over what the operator has only just started and listed.
+                    entry = replace(entry, started=self.house.since(entry.dial))
                 peer = self.house.peer(self, entry, hashed(entry.host.encode()))
                 peer.sends = self.house.shared(entry)
             peer.state, peer.cell, peer.size = entry.state, entry.cell, entry.size
--- a/whinpier/standin/__main__.py
+++ b/whinpier/standin/__main__.py
@@ -9,24 +9,30 @@
 import json
 import sys
 
+from whinpier.standin.discovery import Discovery
 from whinpier.standin.upstream import Script, Upstream
 
 
-async def serve(given: dict[str, dict[str, object]], seed: int) -> None:
+async def serve(given: dict[str, dict[str, object]], seed: int, discovery: bool) -> None:
     upstreams = {}
     for name, script in given.items():
         port = int(str(script.pop("port", 0)))
         upstreams[name] = Upstream(name, Script(**script), seed)  # type: ignore[arg-type]
         await upstreams[name].start(port)
-    print(json.dumps({name: upstream.address for name, upstream in upstreams.items()}), flush=True)
+    addresses = {name: upstream.address for name, upstream in upstreams.items()}
+    if discovery:
+        lists = Discovery(*(upstream.entry() for upstream in upstreams.values()))
+        await lists.start()
+        addresses["discovery"] = lists.address
+    print(json.dumps(addresses), flush=True)
     # Ends with whoever started it, also when that is killed.
     await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
 
 
 def main() -> int:
-    """Reads one line of JSON: the scripts by name, and `seed`."""
+    """Reads one line of JSON: the scripts by name, `seed`, and whether a discovery lists them all."""
     given = json.loads(sys.stdin.readline())
-    asyncio.run(serve(given["upstreams"], int(given.get("seed", 0))))
+    asyncio.run(serve(given["upstreams"], int(given.get("seed", 0)), bool(given.get("discovery"))))
     return 0
 
 
--- a/whinpier/standin/fleet.py
+++ b/whinpier/standin/fleet.py
@@ -19,11 +19,12 @@
 class Fleet:
     """One process with some upstreams."""
 
-    def __init__(self, scripts: dict[str, Script], seed: int = 0) -> None:
+    def __init__(self, scripts: dict[str, Script], seed: int = 0, discovery: bool = False) -> None:
         self.process = subprocess.Popen([sys.executable, "-m", "whinpier.standin"], stdin=subprocess.PIPE,
                                         stdout=subprocess.PIPE, text=True)
         assert self.process.stdin and self.process.stdout
-        given = {"seed": seed, "upstreams": {name: asdict(script) for name, script in scripts.items()}}
+        given = {"seed": seed, "discovery": discovery,
+                 "upstreams": {name: asdict(script) for name, script in scripts.items()}}
         self.process.stdin.write(json.dumps(given) + "\n")
         self.process.stdin.flush()
         line = self.process.stdout.readline()
@@ -31,11 +32,20 @@
             raise RuntimeError("the stand-in upstreams did not start")
         self.killed: dict[str, dict[str, Any]] = {}
         self.addresses: dict[str, str] = json.loads(line)
+        self.discovery = self.addresses.pop("discovery", "")
 
     def tell(self, name: str, **script: Any) -> dict[str, Any]:
         """Have one behave otherwise; what it has done so far comes back."""
-        request = urllib.request.Request(f"http://{self.addresses[name]}{CONTROL.decode()}",
-                                         json.dumps(script).encode() if script else None)
+        return self.control(self.addresses[name], script)
+
+    def tell_list(self, **what: Any) -> dict[str, Any]:
+        """Have the discovery tell something: `change`, `say`, `hang_up`, `beat`."""
+        return self.control(self.discovery, what)
+
+    @staticmethod
+    def control(address: str, told: dict[str, Any]) -> dict[str, Any]:
+        request = urllib.request.Request(f"http://{address}{CONTROL.decode()}",
+                                         json.dumps(told).encode() if told else None)
         with urllib.request.urlopen(request, timeout=10.0) as answer:
             found: dict[str, Any] = json.load(answer)
         return found
