One pool's crowd no longer takes the others' connections; the lab's model and wire begin

Need: answers end connections once clients hold a quarter of the descriptors, whoever's crowd it is; the other pools' clients then queue at the listener with it.

--- /dev/null
+++ b/whinpier/lab/experiment.py
@@ -0,0 +1,264 @@
+"""The experiment file: fleet, load, troubles, policies, what varies and what must hold. Typed, checked whole.
+
+Owns its keys and what is said of a faulty one. Times are seconds, rates tasks a second, shares 0 to 1.
+"""
+
+from __future__ import annotations
+
+import copy
+import itertools
+import json
+import os
+import re
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from whinpier.config.operator import Strict, part
+from whinpier.spec import ConfigFault
+
+Positive = Annotated[float, Meta(gt=0.0, le=1e6)]
+Amount = Annotated[float, Meta(ge=0.0, le=1e6)]
+Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+Count = Annotated[int, Meta(ge=1, le=10_000)]
+POLICIES = ("choice", "random", "round_robin", "least_out", "two_choices", "join_idle", "oracle")
+KINDS = ("slow", "hang", "pause", "fail", "shrink", "restart", "lost_zone", "stale_list", "lossy",
+         "partition", "clock_step", "spoilt", "surge")
+MOST_RUNS = 100_000
+
+
+class Table(Strict, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A table of the file: a key that it does not have is a fault."""
+
+
+class Machine(Table, frozen=True, kw_only=True):
+    """One kind of upstream, and how many there are of it."""
+
+    count: Count
+    cores: Annotated[int, Meta(ge=1, le=1024)] = 4
+    speed: Positive = 1.0  # of a core
+    queue: Annotated[int, Meta(ge=0, le=100_000)] = 64  # that wait for a core; more is turned away unseen
+    connections: Count = 400
+    connection_work: Amount = 0.0  # seconds of a core for a new connection
+    warm_up: Amount = 0.0  # seconds until it does all it can after a start
+    cold_from: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.2
+    topple: Amount = 0.0  # times its present capacity, in a second, at which a cold one falls over; 0: never
+    keys: Annotated[int, Meta(ge=0, le=1_000_000)] = 0  # that it knows again
+    known_work: Share = 1.0  # part of the work that a task with a known key takes
+    overdrive: Amount = 0.0  # part of its speed that each further queue's length as long as its cores takes
+
+
+class Fleet(Table, frozen=True, kw_only=True):
+    """Balancers and upstreams."""
+
+    machines: list[Machine]
+    balancers: Count = 1
+    zones: Annotated[int, Meta(ge=1, le=16)] = 1
+    network: Amount = 0.0002  # seconds one way within a zone
+    far: Amount = 0.001  # and between zones, on top
+    list_delay: Amount = 0.2  # seconds until a change of the list is told
+    idle: Positive = 60.0  # after which upstreams close connections
+
+
+class Stream(Table, frozen=True, kw_only=True):
+    """One workload and how it is asked for, by all balancers' clients together."""
+
+    name: str
+    rate: Amount
+    kind: Literal["rerunnable", "ticketed", "exclusive"] = "exclusive"
+    work: Positive = 0.01  # mean seconds of a core
+    spread: Literal["constant", "exponential", "lognormal", "heavy"] = "exponential"
+    agreed_time: Positive = 0.25
+    patience: Positive = 1.5
+    payoff: Amount = 1.0
+    late_payoff: Amount = 0.0
+    window: Amount = 10.0
+    group: Literal["all", "zone", "cell"] = "all"
+    retries: Annotated[int, Meta(ge=0, le=20)] = 0  # by the client, of what was not fulfilled
+    hasty: bool = False  # retries at once, whatever it was told
+    gateways: Count = 1
+    keys: Annotated[int, Meta(ge=0, le=1_000_000)] = 0  # distinct ones, by a law of powers
+    day: Share = 0.0  # how far the rate swings over a day of the experiment's length
+    surges: list[tuple[float, float, float]] = []  # from, to, times the rate
+
+
+class Trouble(Table, frozen=True, kw_only=True):
+    """Something that goes wrong, on a schedule."""
+
+    kind: str
+    at: Amount
+    span: Positive = 5.0
+    share: Share = 0.0  # of upstreams (or balancers, for a stale list); 0: one
+    amount: Amount = 0.0  # how much: speed left, part that fails, seconds of a pause or step; 0: the usual
+    zone: Annotated[int, Meta(ge=0, le=15)] = 0
+
+
+class Chance(Table, frozen=True, kw_only=True):
+    """Troubles by chance, also overlapping."""
+
+    count: Annotated[int, Meta(ge=0, le=100)] = 0
+    kinds: list[str] = []  # empty: all
+    longest: Positive = 6.0  # seconds
+
+
+class Policy(Table, frozen=True, kw_only=True):
+    """How balancers decide."""
+
+    name: str = "choice"
+    hand_offs: Annotated[int, Meta(ge=1, le=16)] = 3
+    second_copies: bool = False
+    cancelling: bool = True
+    warm_keys: bool = False
+    drain_grace: Amount = 0.5  # seconds after a drain was told in which something new may still arrive
+    mutation: str = ""  # a rule broken on purpose, to see that it is caught
+
+
+class Holds(Table, frozen=True, kw_only=True):
+    """What must hold in every run, beside the rules."""
+
+    on_time: Share = 0.0
+    recovered: Amount = 0.0  # seconds before the end from which on_time_after holds; 0: not asked
+    on_time_after: Share = 0.0
+
+
+class File(Table, frozen=True, kw_only=True):
+    """One experiment."""
+
+    name: str
+    fleet: Fleet
+    streams: list[Stream]
+    seconds: Annotated[float, Meta(gt=0.0, le=86_400.0)] = 30.0
+    warm: Amount = 3.0  # seconds at the start that do not count
+    troubles: list[Trouble] = []
+    chance: Chance = Chance()
+    policy: Policy = Policy()
+    vary: dict[str, list[Any]] = {}  # path of a key: its values; the runs are their product
+    seeds: Annotated[int, Meta(ge=1, le=10_000)] = 1
+    holds: Holds = Holds()
+    about: str = ""
+
+
+class Run(Struct, frozen=True):
+    """One run of an experiment: with which values of what varies, and which seed."""
+
+    experiment: File
+    values: dict[str, Any]
+    seed: int
+
+    @property
+    def key(self) -> str:
+        """The same for the same run, however it is asked for."""
+        values = ",".join(f"{path}={json.dumps(value)}" for path, value in sorted(self.values.items()))
+        return f"{values or 'plain'};seed={self.seed}"
+
+
+def read(file: Path) -> tuple[dict[str, Any], File]:
+    """An experiment file as it stands and as it is understood. Raises ConfigFault, naming file and key."""
+    try:
+        text = file.read_text("utf-8")
+        given = tomllib.loads(text)
+        return given, checked(given)
+    except ConfigFault as fault:
+        raise ConfigFault(f"{file}: {fault}") from None
+    except (OSError, ValueError, RecursionError) as fault:
+        raise ConfigFault(f"{file}: {fault}") from None
+
+
+def checked(given: dict[str, Any]) -> File:
+    """An experiment, all of it looked at."""
+    found = part(given, File, "")
+    if not re.fullmatch(r"[a-z0-9][a-z0-9_-]{0,62}", found.name):
+        raise ConfigFault(f"name: {found.name!r} is no name: small letters, digits, - and _")
+    if not found.streams:
+        raise ConfigFault("streams: none is described")
+    names = [stream.name for stream in found.streams]
+    if len(set(names)) < len(names):
+        raise ConfigFault("streams: a name twice")
+    if not found.fleet.machines:
+        raise ConfigFault("fleet.machines: none is described")
+    for index, stream in enumerate(found.streams):
+        if stream.patience < stream.agreed_time:
+            raise ConfigFault(f"streams[{index}].patience: is shorter than agreed_time")
+        for begins, ends, times in stream.surges:
+            if not (0.0 <= begins < ends and times >= 0.0):
+                raise ConfigFault(f"streams[{index}].surges: {begins}, {ends}, {times}: not from, to, times")
+    for index, trouble in enumerate(found.troubles):
+        known(trouble.kind, KINDS, f"troubles[{index}].kind")
+        if trouble.kind == "lost_zone" and trouble.zone >= found.fleet.zones:
+            raise ConfigFault(f"troubles[{index}].zone: {trouble.zone} is none of {found.fleet.zones} zones")
+    for kind in found.chance.kinds:
+        known(kind, KINDS, "chance.kinds")
+    known(found.policy.name, POLICIES, "policy.name")
+    if found.warm >= found.seconds:
+        raise ConfigFault("warm: leaves nothing of seconds")
+    return found
+
+
+def known(name: str, names: tuple[str, ...], at: str) -> None:
+    if name not in names:
+        raise ConfigFault(f"{at}: {name!r} is none of {', '.join(names)}")
+
+
+def runs(given: dict[str, Any], first_seed: int = 1) -> Iterator[Run]:
+    """All runs of an experiment: each value of what varies with each seed, pairs of seeds side by side."""
+    whole = checked(given)
+    paths = list(whole.vary)
+    count = whole.seeds
+    for path, values in whole.vary.items():
+        if not isinstance(values, list) or not values:
+            raise ConfigFault(f"vary.{path}: is no list of values")
+        count *= len(values)
+    if count > MOST_RUNS:
+        raise ConfigFault(f"vary: {count} runs, over {MOST_RUNS}")
+    for combination in itertools.product(*whole.vary.values()):
+        chosen: dict[str, Any] = dict(zip(paths, combination))
+        changed = copy.deepcopy(given)
+        changed.pop("vary", None)
+        for path, value in chosen.items():
+            put(changed, path, value)
+        try:
+            experiment = checked(changed)
+        except ConfigFault as fault:
+            raise ConfigFault(f"vary {chosen}: {fault}") from None
+        for seed in range(first_seed, first_seed + whole.seeds):
+            yield Run(experiment, chosen, seed)
+
+
+def put(table: dict[str, Any], path: str, value: Any) -> None:
+    """Set `fleet.balancers` or `streams[0].rate` or `streams[*].rate`."""
+    steps = re.findall(r"[^.\[\]]+|\[(?:\d+|\*)\]", path)
+    places: list[Any] = [table]
+    for step in steps[:-1]:
+        places = [inner for place in places for inner in stepped(place, step, path)]
+    for place in places:
+        last = steps[-1]
+        if last.startswith("["):
+            raise ConfigFault(f"vary.{path}: ends in a place, not in a key")
+        if not isinstance(place, dict):
+            raise ConfigFault(f"vary.{path}: leads nowhere")
+        place[last] = value
+
+
+def stepped(place: Any, step: str, path: str) -> list[Any]:
+    if step == "[*]" and isinstance(place, list):
+        return list(place)
+    if step.startswith("[") and isinstance(place, list) and int(step[1:-1]) < len(place):
+        return [place[int(step[1:-1])]]
+    if isinstance(place, dict) and not step.startswith("["):
+        return [place.setdefault(step, {})]
+    raise ConfigFault(f"vary.{path}: leads nowhere at {step}")
+
+
+def encoded(value: Any) -> Any:
+    """Plain values, for JSON."""
+    return msgspec.to_builtins(value)
+
+
+def shipped() -> dict[str, Path]:
+    """The experiments that come with the project."""
+    folder = Path(os.path.dirname(__file__)) / "experiments"
+    return {file.stem: file for file in sorted(folder.glob("*.toml"))}
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -80,6 +80,7 @@
         self.since = door.loop.clock()  # since when it is here, is idle, is read, is answered for good
         self.task: Asked | None = None
         self.to: tuple[Target, Workload] | None = None  # where what is asked for goes
+        self.member: Part | None = None  # of the pool it asked last
         self.lost: BadRequest | None = None  # why it goes nowhere
         self.paid: Part | None = None  # whose bodies its own counts among
         self.left = memoryview(b"")
@@ -133,11 +134,21 @@
         if self.target != self.door.up:
             try:
                 self.to = self.door.router.route(self.method, self.target, self.headers)
+                if (part := self.to[0].pool.part) is not self.member:
+                    self.join(part)
             except BadRequest as bad:
                 if bad.last:
                     raise
                 self.lost = bad  # its client may go on asking, if the rest of this is here already
 
+    def join(self, part: Part | None) -> None:
+        """It counts among the clients of the pool that it asked last."""
+        if self.member:
+            self.member.clients -= 1
+        if part:
+            part.clients += 1
+        self.member = part
+
     def take_body(self, data: bytes) -> None:
         if not data or self.lost:
             return
@@ -254,7 +265,7 @@
         """Write the one answer to what was asked."""
         self.task = None
         self.release()
-        self.last = last or self.door.closing or self.door.crowded()
+        self.last = last or self.door.closing or self.door.crowded(self.member)
         # Where the client ends its connection, or has not sent its request whole, nothing can follow.
         self.last = self.last or not (self.plain or self.parser.their_state is h11.DONE)
         head = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b""))]
@@ -330,6 +341,7 @@
             return
         self.closed = True
         self.release()
+        self.join(None)
         self.door.gone(self)
         self.hang_up()
         if task := self.task:
--- a/whinpier/net/door.py
+++ b/whinpier/net/door.py
@@ -15,6 +15,7 @@
 from whinpier.decay import SECOND
 from whinpier.net.clients import Asked, Client
 from whinpier.net.routes import Router
+from whinpier.runtime.budget import Part
 from whinpier.runtime.life import Life
 from whinpier.runtime.pool import Pool
 
@@ -48,9 +49,9 @@
     def ready(self) -> bool:
         return self.life.ready()
 
-    def crowded(self) -> bool:
-        """Whether clients had better not keep their connections."""
-        return self.budget.crowded(len(self.clients) - len(self.strangers))
+    def crowded(self, part: Part | None = None) -> bool:
+        """Whether clients (of a pool) had better not keep their connections."""
+        return self.budget.crowded(len(self.clients) - len(self.strangers), part)
 
     def no_room(self, pool: Pool) -> bool:
         """Whether a task is turned back at the door; if not it counts among its pool's from now on."""
@@ -90,8 +91,10 @@
 
     def longest_idle(self, since: int) -> Iterator[Client]:
         """Clients that have asked before and are idle since then or longer; sorted once one is wanted."""
+        within = self.budget.within
         yield from sorted((client for client in self.clients if client.idle() and client.since < since
-                           and client not in self.strangers), key=lambda client: client.since)
+                           and client not in self.strangers),
+                          key=lambda client: (within(client.member), client.since))
 
     def welcome(self, listener: socket.socket) -> bool:
         """Take one client in. One too many is only turned back: what waits unseen is lost in time."""
--- a/whinpier/runtime/budget.py
+++ b/whinpier/runtime/budget.py
@@ -104,6 +104,7 @@
         self.links = budget.links.part(share, limits.connections)
         self.bodies = budget.bodies.part(share, limits.bodies)  # bytes of answers
         self.requests = budget.requests.part(share, limits.bodies)  # bytes of what is asked
+        self.clients = 0  # connections of clients that asked it last
         self.shed = 0.0  # the part of its tasks that is turned back at the door
         self.spent = Sum(SPENT, 0)  # nanoseconds of the loop
         budget.parts.append(self)
@@ -124,7 +125,7 @@
 
     def figures(self) -> Mapping[str, object]:
         return {"out": self.tasks.used, "out_guaranteed": self.tasks.guaranteed,
-                "links": self.links.used, "links_guaranteed": self.links.guaranteed,
+                "clients": self.clients, "links": self.links.used, "links_guaranteed": self.links.guaranteed,
                 "bodies": self.bodies.used, "shed": round(self.shed, 2)}
 
 
@@ -190,11 +191,18 @@
         """Whether a pool had better not keep what has just fallen free: it is another's."""
         return part.links.borrowed() > 0 and self.links.used + self.links.kept >= self.room()
 
-    def crowded(self, asked: int) -> bool:
-        """Whether clients had better not keep their connections: then room comes with every answer."""
+    def crowded(self, asked: int, part: Part | None = None) -> bool:
+        """Whether clients (of a pool) had better not keep connections: room then comes with every answer."""
         # Guards against clients that ask once and stay: they may hold a third of the descriptors in all, and
         # while they do others have no connection left to ask on.
-        return asked > self.sockets // CROWD
+        return asked > self.sockets // CROWD and not self.within(part)
+
+    def within(self, part: Part | None) -> bool:
+        """Whether a pool's clients hold no more than its part: they need not go for those of others."""
+        # Guards against one pool's crowd at the door: the others' clients would wait in one queue with it.
+        if part is None or len(self.parts) < 2 or not self.isolate:
+            return False
+        return part.clients <= part.limits.guaranteed * min(self.sockets // CROWD, self.most_clients)
 
     def judge(self, now: int, lag: int) -> None:
         """Turn back a larger or smaller part of what comes, by how late the loop is."""
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -135,7 +135,7 @@
         self.now = self.loop.clock()
         self.began = self.now
         self.held: dict[str, Peer] = {}  # the list as last told
-        self.leavers: set[Peer] = set()  # no longer listed, with hand-offs still out
+        self.leavers: dict[Peer, None] = {}  # no longer listed, with hand-offs still out
         self.out = 0  # tasks without an answer
         self.told_once, self.leaving, self.ended = False, False, False
         self.on_end: Callable[[], None] = lambda: None
@@ -345,8 +345,8 @@
         for host, peer in before.items():
             if held.get(host) is not peer:
                 peer.state = GONE
-                self.leavers.add(peer)
-        for peer in {*before.values(), *held.values()}:
+                self.leavers[peer] = None
+        for peer in dict.fromkeys((*before.values(), *held.values())):  # in an order that does not change
             if peer.state != READY:
                 peer.retire()
         states = Counter(peer.state for peer in held.values())
@@ -376,7 +376,7 @@
         for peer in self.held.values():
             peer.sweep()
         for peer in [peer for peer in self.leavers if not peer.out()]:
-            self.leavers.discard(peer)
+            self.leavers.pop(peer, None)
 
     # The end.
 
--- a/whinpier/standin/clients.py
+++ b/whinpier/standin/clients.py
@@ -14,6 +14,7 @@
 from whinpier.standin.ledger import Told, percentile
 from whinpier.standin.upstream import header
 
+LATE = 0.02  # seconds: a tenth of the agreed times that are played
 GRACE = 0.25  # seconds past its patience that a client still looks for an answer, to see one that is late
 
 
@@ -36,6 +37,18 @@
     begins: float = 0.0  # seconds after the start
     ends: float = float("inf")
     surges: list[tuple[float, float, float]] = field(default_factory=list)  # from, to, times the rate
+    work: float = 0.0  # mean seconds of work that a task asks for in X-Work; 0: says nothing
+    spread: str = "exponential"
+
+    def draw(self, chance: Random) -> float:
+        """Seconds of work of one task."""
+        if self.spread == "constant":
+            return self.work
+        if self.spread == "lognormal":
+            return chance.lognormvariate(0.0, 1.0) * self.work / 1.6487212707
+        if self.spread == "heavy":
+            return min(chance.paretovariate(1.5) * self.work / 3.0, 100.0 * self.work)
+        return chance.expovariate(1.0 / self.work)
 
     def rate_at(self, at: float) -> float:
         times = 1.0
@@ -57,6 +70,7 @@
         self.not_sent = 0  # no connection came up, or there were too many
         self.cut = 0  # closed by the balancer between two requests, and asked again
         self.out = 0
+        self.late = 0  # tasks that were begun well after they were due: this generator was late itself
 
     async def run(self, span: float) -> None:
         """Ask for `span` seconds, then wait for what is out."""
@@ -80,8 +94,9 @@
 
     def ask(self, due: float, tries: int) -> None:
         asks = self.asks
+        self.late += not tries and asyncio.get_running_loop().time() > due + LATE
         # The id's beginning says the stream, so that the ledgers of upstreams can be held against it.
-        task = Told(f"{asks.name}-{self.chance.getrandbits(64):016x}", asks.name, due)
+        task = Told(f"{asks.name}-{self.chance.getrandbits(64):016x}", asks.name, due, tries=tries)
         self.told.append(task)
         self.out += 1
         while self.idle:
@@ -166,6 +181,8 @@
             lines.append(f"X-Lane: {asks.lane}")
         if asks.ticket:
             lines.append(f"Idempotency-Key: {task.id}")
+        if asks.work:
+            lines.append(f"X-Work: {asks.draw(self.gateway.chance):.6f}")
         if tries:
             lines.append("X-Resent: 1")
         lines += [f"{name}: {value}" for name, value in asks.headers.items()]
--- a/whinpier/standin/ledger.py
+++ b/whinpier/standin/ledger.py
@@ -44,6 +44,7 @@
     answers: int = 0
     retry_after: float | None = None
     body: int = 0  # bytes
+    tries: int = 0  # of its client before this one
 
     def on_time(self, agreed: float) -> bool:
         return self.status == 200 and self.latency <= agreed
--- a/whinpier/standin/upstream.py
+++ b/whinpier/standin/upstream.py
@@ -43,6 +43,7 @@
     size: int = 2  # bytes of an answer's body
     pace: float = 0.0  # bytes a second at which bodies go out; 0: at once
     accept: bool = True  # False: it takes connections and never reads
+    by_header: bool = False  # the client says, in X-Work, how many seconds a task takes
     closes: float = 0.0  # closes the connection behind the answer
 
     def draw(self, chance: Random) -> float:
@@ -122,7 +123,8 @@
         while self.queue and self.busy < self.script.workers:
             connection = self.queue.popleft()
             self.busy += 1
-            span = self.script.draw(self.chance) / max(self.speed(), 1e-6)
+            work = connection.work if self.script.by_header else self.script.draw(self.chance)
+            span = work / max(self.speed(), 1e-6)
             asyncio.get_running_loop().call_later(span, self.done, connection, connection.number)
 
     def done(self, connection: Connection, number: int) -> None:
@@ -177,7 +179,7 @@
         self.upstream = upstream
         self.transport: asyncio.Transport
         self.data = b""
-        self.id = ""
+        self.id, self.work = "", 0.0  # of its request
         self.number = 0  # of its requests
         self.over, self.answering = False, False
 
@@ -205,6 +207,8 @@
                 self.upstream.control(self, body)
                 continue
             self.id = header(head, b"x-txn").decode("latin-1") or f"{id(self)}-{self.number}"
+            if self.upstream.script.by_header:
+                self.work = float(header(head, b"x-work") or 0.0)
             self.upstream.take(self)
 
     def send(self, data: bytes) -> None:
