--- a/whinpier/cli/main.py
+++ b/whinpier/cli/main.py
@@ -208,3 +208,12 @@
 
 def main() -> None:
     cli(prog_name="whinpier")
+
+
+def _lab() -> None:
+    from whinpier.cli.lab import lab
+
+    cli.add_command(lab)
+
+
+_lab()
--- a/whinpier/config/operator.py
+++ b/whinpier/config/operator.py
@@ -187,6 +187,8 @@
 def type_at(kind: Any, path: str) -> Any:
     """The type of the field that a path such as `.limits.tasks` or `.methods[0]` leads to."""
     for step in re.findall(r"\.(\w+)", path):
+        while not isinstance(kind, type) or get_origin(kind):
+            kind = next(inner for inner in get_args(kind) if inner is not type(None))  # of a list, or of none
         kind = next(field.type for field in msgspec.structs.fields(kind) if field.encode_name == step)
     return kind
 
--- a/whinpier/lab/experiment.py
+++ b/whinpier/lab/experiment.py
@@ -138,6 +138,7 @@
     policy: Policy = Policy()
     vary: dict[str, list[Any]] = {}  # path of a key: its values; the runs are their product
     seeds: Annotated[int, Meta(ge=1, le=10_000)] = 1
+    size: Amount = 0.0  # balancers; upstreams and rates grow with them; 0: as they stand
     holds: Holds = Holds()
     about: str = ""
 
@@ -193,11 +194,23 @@
     for kind in found.chance.kinds:
         known(kind, KINDS, "chance.kinds")
     known(found.policy.name, POLICIES, "policy.name")
+    if found.size:
+        found = sized(found)
     if found.warm >= found.seconds:
         raise ConfigFault("warm: leaves nothing of seconds")
     return found
 
 
+def sized(found: File) -> File:
+    """The same experiment with so many balancers, and upstreams and rates in proportion."""
+    times = found.size / found.fleet.balancers
+    machines = [msgspec.structs.replace(machine, count=max(1, round(machine.count * times)))
+                for machine in found.fleet.machines]
+    fleet = msgspec.structs.replace(found.fleet, balancers=max(1, round(found.size)), machines=machines)
+    streams = [msgspec.structs.replace(stream, rate=stream.rate * times) for stream in found.streams]
+    return msgspec.structs.replace(found, fleet=fleet, streams=streams, size=0.0)
+
+
 def known(name: str, names: tuple[str, ...], at: str) -> None:
     if name not in names:
         raise ConfigFault(f"{at}: {name!r} is none of {', '.join(names)}")
--- a/whinpier/lab/mutations.py
+++ b/whinpier/lab/mutations.py
@@ -49,9 +49,16 @@
 
 
 def floods_cold(balancer: Balancer) -> None:
-    """A cold upstream gets as much as a warm one."""
+    """Whoever has just started has the fewest out, and gets everything."""
     split: Any = balancer.pool.choice.split
-    split.age = lambda upstream: 1.0
+    find = split.find
+
+    def newest(task: Task) -> Any:
+        ready = [seen for seen in split.ready if seen.upstream.started and seen.upstream.state == "ready"
+                 and not task.hand_offs]
+        return max(ready, key=lambda seen: seen.upstream.started, default=None) or find(task)
+
+    split.find = newest
 
 
 MUTATIONS: dict[str, Callable[[Balancer], None]] = {
--- a/whinpier/lab/servers.py
+++ b/whinpier/lab/servers.py
@@ -31,7 +31,8 @@
         self.clock, self.number, self.machine, self.zone = clock, number, machine, zone
         self.name, self.chance = f"s-{number}", Random(f"server/{seed}/{number}")
         self.fell = fell  # told when it is pushed over while cold
-        self.started = 0  # 0: long ago
+        self.started = 0  # as the list has it; 0: long ago
+        self.born = 0  # when it did, whatever its clock says
         self.run = 0  # restarts
         self.up, self.reachable = True, True
         self.state = "ready"
@@ -48,9 +49,9 @@
     def warmth(self) -> float:
         """The part of its capacity that it has."""
         machine = self.machine
-        if not self.started or not machine.warm_up:
+        if not self.born or not machine.warm_up:
             return 1.0
-        age = (self.clock.now - self.started) / SECOND
+        age = (self.clock.now - self.born) / SECOND
         return min(1.0, machine.cold_from + (1.0 - machine.cold_from) * age / machine.warm_up)
 
     def speed(self) -> float:
@@ -170,7 +171,7 @@
         """A new run of it, cold."""
         self.run += 1
         self.up, self.reachable, self.hanging = True, True, 0
-        self.started = self.clock.now
+        self.started = self.born = self.clock.now
 
     def pause(self, span: int) -> None:
         self.paused_until = max(self.paused_until, self.clock.now + span)
