RADIUS accounting beside HTTP: codec, duplicates, identifiers, clients and servers over UDP

Need: partner networks deliver roaming accounting records over RADIUS; one answer for each record taken, no second run of an exclusive one. Change: whinpier/radius: packets and their proofs (with Message-Authenticator, needed of clients unless the file says otherwise), retransmissions known by source, identifier and authenticator, records by session, status, NAS and moment whatever their delay says, 256 identifiers a socket that rest after a time-out, Proxy-State pushed and popped, a front and servers on the same pools; [radius] in the operator's file with clients, secrets, routes by realm, status, NAS; stand-in clients and servers on a network that loses, doubles and delays. The life of the process takes several fronts.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -8,6 +8,7 @@
     ("choice",),
     ("runtime",),
     ("net", "simhost"),
+    ("radius",),
     ("config",),
     ("__main__",),
     ("standin", "lab", "cli"),
@@ -23,7 +24,10 @@
         own = file.relative_to("whinpier").with_suffix("").parts[0]
         if own == "__init__":
             continue
-        for node in ast.walk(ast.parse(file.read_text())):
+        tree = ast.parse(file.read_text())
+        typed = {inner for node in ast.walk(tree) if isinstance(node, ast.If)
+                 and getattr(node.test, "id", "") == "TYPE_CHECKING" for inner in ast.walk(node)}
+        for node in set(ast.walk(tree)) - typed:
             names = [alias.name for alias in node.names] if isinstance(node, ast.Import) else []
             if isinstance(node, ast.ImportFrom) and node.module:
                 names = [f"{node.module}.{alias.name}" for alias in node.names]
--- /dev/null
+++ b/tests/test_radius.py
@@ -0,0 +1,420 @@
+"""Stories of RADIUS: the codec beside another one, records and retransmissions, a bad network."""
+
+import asyncio
+import os
+import time
+import tomllib
+from collections import Counter
+from contextlib import contextmanager
+from ipaddress import IPv4Network
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from pyrad import packet as other
+from pyrad.dictionary import Dictionary
+
+from whinpier.config import operator
+from whinpier.decay import SECOND
+from whinpier.radius import keys
+from whinpier.radius import packet as wire
+from whinpier.radius.idents import EACH, Idents
+from whinpier.radius.packet import BadPacket, Packet
+from whinpier.radius.spec import ClientSpec, RouteSpec, client_of
+from whinpier.spec import ConfigFault
+from whinpier.standin.process import Balancer, free_address
+from whinpier.standin.radius import Behaviour, Client, Server, Weather, attributes, proved, request
+
+SECRET = b"partner"
+attribute = st.tuples(st.integers(1, 255).filter(lambda kind: kind != wire.MESSAGE_AUTHENTICATOR),
+                      st.binary(max_size=253))
+many = st.lists(attribute, max_size=12)
+
+
+# The codec.
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.integers(0, 255), many, st.booleans())
+def test_what_is_sealed_is_proved_and_read_as_it_was(ident, pairs, sign):
+    data = wire.sealed(Packet(wire.ACCOUNTING_REQUEST, ident, attributes=list(pairs)), SECRET, sign)
+    packet = wire.parse(data)
+    wire.check_request(packet, data, SECRET, sign)
+    assert packet.id == ident and [pair for pair in packet.attributes if pair[0] != 80] == pairs
+    reply = wire.answer(packet, SECRET, sign)
+    wire.check_answer(wire.parse(reply), reply, packet, SECRET, sign)
+    states = [pair for pair in pairs if pair[0] == wire.PROXY_STATE]
+    assert [pair for pair in wire.parse(reply).attributes if pair[0] != 80] == states
+    for broken in (b"other", SECRET + b"!"):
+        with pytest.raises(BadPacket):
+            wire.check_request(packet, data, broken, sign)
+        with pytest.raises(BadPacket):
+            wire.check_answer(wire.parse(reply), reply, packet, broken, sign)
+
+
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(st.one_of(st.binary(max_size=64), st.binary(min_size=16, max_size=80).map(
+    lambda tail: bytes((4, 1, 0, 4 + len(tail))) + tail)), st.integers(0, 80), st.integers(0, 255))
+def test_no_bytes_do_more_than_be_refused(data, at, byte):
+    good = wire.sealed(Packet(wire.ACCOUNTING_REQUEST, 1, attributes=[(40, b"\0\0\0\1")]), SECRET, True)
+    changed = bytearray(good + b"padding")
+    changed[at % len(good)] = byte
+    for text in (data, bytes(changed)):
+        try:
+            packet = wire.parse(text)
+            wire.check_request(packet, text, SECRET, True)
+        except BadPacket:
+            continue
+        assert packet.code == wire.STATUS_SERVER or bytes(changed[:len(good)]) == good
+
+
+@pytest.mark.parametrize("data", [b"", b"\4\1\0\x14" + bytes(15), b"\4\1\0\x13" + bytes(16),
+                                  b"\4\1\0\x15" + bytes(16) + b"\1", b"\4\1\0\x16" + bytes(16) + b"\1\1",
+                                  b"\4\1\0\x16" + bytes(16) + b"\1\3", b"\4\1\0\x16" + bytes(16) + b"\0\2",
+                                  b"\4\1\x10\x01" + bytes(4093), b"\4\1\xff\xff" + bytes(70000)])
+def test_lengths_that_lie_are_refused(data):
+    with pytest.raises(BadPacket):
+        wire.parse(data)
+
+
+def test_a_message_authenticator_that_is_missing_wrong_or_there_twice_is_refused():
+    plain = wire.sealed(Packet(4, 1, attributes=[(40, b"\0\0\0\1")]), SECRET, False)
+    wire.check_request(wire.parse(plain), plain, SECRET, False)
+    with pytest.raises(BadPacket, match="no Message"):
+        wire.check_request(wire.parse(plain), plain, SECRET, True)
+    for pairs in ([(80, bytes(16))], [(80, bytes(16))] * 2, [(80, bytes(5))]):
+        data = wire.sealed(Packet(4, 1, attributes=pairs), SECRET, False)
+        with pytest.raises(BadPacket, match="Message"):
+            wire.check_request(wire.parse(data), data, SECRET, False)
+
+
+def test_another_implementation_reads_what_is_written_here_and_the_other_way(tmp_path):
+    text = ("ATTRIBUTE User-Name 1 string\nATTRIBUTE Class 25 octets\nATTRIBUTE Proxy-State 33 octets\n"
+            "ATTRIBUTE Acct-Status-Type 40 integer\nATTRIBUTE Acct-Session-Id 44 string\n"
+            "ATTRIBUTE Message-Authenticator 80 octets\n")
+    (tmp_path / "dictionary").write_text(text)
+    names = Dictionary(str(tmp_path / "dictionary"))
+    theirs = other.AcctPacket(id=7, secret=SECRET, dict=names)
+    theirs["User-Name"], theirs["Acct-Status-Type"], theirs["Acct-Session-Id"] = "u@home", 1, "s1"
+    theirs["Proxy-State"] = b"\1\2"
+    data = theirs.RequestPacket()
+    packet = wire.parse(data)
+    wire.check_request(packet, data, SECRET, False)
+    assert (packet.first(wire.USER_NAME), packet.number(wire.STATUS_TYPE)) == (b"u@home", 1)
+    reply = wire.answer(packet, SECRET, False, attributes=[(wire.CLASS, b"c")])
+    assert theirs.VerifyReply(theirs.CreateReply(packet=reply), reply)
+    ours = wire.sealed(Packet(4, 9, attributes=[(1, b"u"), (40, b"\0\0\0\2")]), SECRET, True)
+    read = other.AcctPacket(packet=ours, secret=SECRET, dict=names)
+    assert read.VerifyAcctRequest() and read["User-Name"] == ["u"] and read["Acct-Status-Type"] == [2]
+    back = read.CreateReply()
+    back.source = None
+    answer = back.ReplyPacket()
+    wire.check_answer(wire.parse(answer), answer, wire.parse(ours), SECRET, False)
+    standin = request(3, [(40, b"\0\0\0\1")], SECRET)  # and the stand-in's own
+    wire.check_request(wire.parse(standin), standin, SECRET, True)
+
+
+# What is one request.
+
+
+def record(session=b"s1", status=1, delay=0, moment=None, nas=b"n", extra=b""):
+    pairs = [(32, nas), (44, session), (40, status.to_bytes(4, "big")), (41, delay.to_bytes(4, "big"))]
+    pairs += [(55, moment)] * (moment is not None) + [(25, extra)] * bool(extra)
+    return wire.parse(wire.sealed(Packet(4, delay, attributes=pairs), SECRET, True))
+
+
+def meet(memory, packet, source=("1.1.1.1", 1), now=0):
+    key, record = keys.wire_key(source, packet), keys.record_key(packet, "c")
+    return memory.meet(key, record, keys.content(packet), now)
+
+
+def test_a_retransmission_joins_what_is_out_and_is_given_the_same_answer_again_for_a_while():
+    memory, packet = keys.Memory(kept=10 * SECOND), record()
+    met, entry = meet(memory, packet)
+    entry.task = "out"
+    assert met == keys.NEW and meet(memory, packet) == (keys.JOINS, entry)
+    assert meet(memory, record(session=b"s2"))[0] == keys.NEW  # same identifier, another authenticator
+    assert meet(memory, packet, source=("1.1.1.1", 2))[1] is entry  # by its record
+    memory.answered(keys.wire_key(("1.1.1.1", 1), packet), b"answer", SECOND)
+    assert meet(memory, packet, now=5 * SECOND)[0] == keys.AGAIN
+    assert meet(memory, packet, now=12 * SECOND)[0] == keys.NEW
+
+
+def test_a_later_try_of_a_record_is_known_by_what_it_says_and_a_record_that_differs_is_another():
+    memory, first = keys.Memory(), record()
+    meet(memory, first)
+    assert meet(memory, record(delay=5))[0] == keys.JOINS
+    assert meet(memory, record(delay=6, extra=b"more"))[0] == keys.NEW
+    assert meet(memory, record(delay=7, status=2))[0] == keys.NEW
+    assert keys.record_key(record(status=3), "c") is None  # interim updates look alike ...
+    moments = [keys.record_key(record(status=3, moment=bytes((0, 0, 0, n))), "c") for n in (1, 2)]
+    assert None not in moments and moments[0] != moments[1]  # ... but for their moment
+    assert keys.record_key(record(nas=b""), "c") is None and keys.record_key(first, "d") != \
+        keys.record_key(first, "c")
+
+
+def test_memory_is_bounded_and_what_is_out_is_never_forgotten():
+    memory = keys.Memory(kept=10 * SECOND, most=4)
+    packets = [record(session=b"%d" % number) for number in range(6)]
+    for packet in packets[:4]:
+        meet(memory, packet)[1].task = "out"
+    assert meet(memory, packets[4]) == (keys.FULL, None)
+    memory.answered(keys.wire_key(("1.1.1.1", 1), packets[1]), b"a", 0)
+    assert meet(memory, packets[4])[0] == keys.NEW and len(memory.entries) == 4
+    memory.forget(100 * SECOND)
+    assert len(memory.entries) == 3 and len(memory.records) == 3  # those out, not the one that nobody took up
+    for packet in packets[:1] + packets[2:4]:
+        memory.given_up(keys.wire_key(("1.1.1.1", 1), packet))
+    assert not memory.entries and not memory.records
+
+
+def test_identifiers_rest_after_a_time_out_and_none_is_given_twice():
+    idents = Idents(most=2, quarantine=SECOND)
+    taken = [idents.take(0) for _ in range(2 * EACH)]
+    assert len(set(taken)) == 2 * EACH and idents.take(0) is None
+    idents.give(*taken[0], True, 0)
+    idents.give(*taken[1], False, 0)
+    idents.give(*taken[1], False, 0)
+    assert idents.take(0) == taken[0] and idents.take(SECOND - 1) is None
+    assert idents.take(SECOND) == taken[1] and idents.take(SECOND) is None
+
+
+def test_the_narrowest_network_and_the_most_specific_route_win():
+    clients = (ClientSpec("wide", (IPv4Network("127.0.0.0/8"),), (b"a",)),
+               ClientSpec("one", (IPv4Network("127.0.0.1/32"),), (b"b",)))
+    assert [client_of(clients, at).name for at in ("127.0.0.1", "127.9.9.9")] == ["one", "wide"]
+    assert client_of(clients, "10.0.0.1") is None
+    routes = sorted([RouteSpec("any", "p", "w"), RouteSpec("below", "p", "w", "*.example"),
+                     RouteSpec("realm", "p", "w", "home.example"),
+                     RouteSpec("stops", "p", "w", "home.example", frozenset((2,)))], key=RouteSpec.rank)
+
+    def taken(name, status):
+        asked = Packet(4, 1, attributes=[(1, name), (40, status.to_bytes(4, "big"))])
+        return next(route.name for route in routes if route.takes(asked, "c"))
+
+    asked = [(b"u@home.example", 1), (b"u@HOME.example", 2), (b"u@x.example", 1), (b"u", 1)]
+    assert [taken(*one) for one in asked] == ["realm", "stops", "below", "any"]
+
+
+# Over sockets.
+
+
+def text(listen, radius, servers, kind="exclusive", more="", patience="2s"):
+    upstreams = ", ".join(f'{{ name = "{one.name}", address = "127.0.0.1:{one.port}" }}' for one in servers)
+    return f"""version = 1
+listen = ["{listen}"]
+[pools.acct]
+protocol = "radius"
+upstreams = [{upstreams}]
+[pools.acct.radius]
+secret = "server"
+retransmit = "100ms"
+[pools.acct.workloads.record]
+kind = "{kind}"
+agreed_time = "500ms"
+patience = "{patience}"
+[radius]
+listen = ["{radius}"]
+{more}
+[radius.clients.partner]
+networks = ["127.0.0.0/8"]
+secrets = ["old", "partner"]
+[[radius.routes]]
+name = "all"
+pool = "acct"
+"""
+
+
+@contextmanager
+def running(folder, servers, **more):
+    listen, radius = free_address(), free_address()
+    file = text(listen, radius, servers, **more)
+    balancer = Balancer(folder, operator=file, listen=listen, optimised=False)
+    try:
+        balancer.wait_ready()
+        host, _, port = radius.rpartition(":")
+        yield balancer, (host, int(port)), lambda **other: text(listen, radius, servers, **other)
+    finally:
+        balancer.stop(wait=False)
+    assert not balancer.said("event=broken") and not balancer.said("level=error"), balancer.log()
+
+
+def play(tmp_path, behaviours, story, weather=None, **more):
+    """Servers with these behaviours, a balancer, and a story told with them."""
+    async def whole():
+        servers = [Server(f"r{number}", b"server", how, weather, number)
+                   for number, how in enumerate(behaviours)]
+        for server in servers:
+            await server.start()
+        loop = asyncio.get_running_loop()
+        context = running(tmp_path, servers, **more)
+        balancer, address, other = await loop.run_in_executor(None, context.__enter__)
+        try:
+            await story(servers, balancer, address, other)
+        finally:
+            await loop.run_in_executor(None, context.__exit__, None, None, None)
+            for server in servers:
+                server.stop()
+
+    asyncio.run(whole())
+
+
+async def client(address, secret=SECRET, rate=100.0, seed=1, **more):
+    made = Client(f"nas{seed}", address, secret, rate, seed, **more)
+    await made.start()
+    return made
+
+
+def ran(servers):
+    whole = Counter()
+    for server in servers:
+        whole.update(server.ran)
+    return whole
+
+
+@pytest.mark.parametrize("behaviours", [
+    [Behaviour(), Behaviour(), Behaviour()],
+    [Behaviour(late=0.3, late_by=0.4), Behaviour(twice=0.5), Behaviour(wrong=0.3)],
+])
+def test_on_a_bad_network_nothing_runs_twice_and_each_record_has_one_answers_content(tmp_path, behaviours):
+    async def story(servers, balancer, address, _):
+        weather = Weather(lost=0.05, doubled=0.05, late=0.1)
+        nas = [await client(address, seed=seed, weather=weather, first=0.3) for seed in range(3)]
+        await asyncio.gather(*(one.run(2.0) for one in nas))
+        told = [record for one in nas for record in one.told]
+        counts = ran(servers)
+        assert max(counts.values()) == 1 and sum(server.bad for server in servers) == 0
+        assert all(len(set(one.answers)) <= 1 for one in told) and not any(one.strange for one in nas)
+        assert all(counts[one.record] for one in told if one.answers)
+        least = 0.95 if behaviours[1].twice == 0 else 0.75
+        assert sum(bool(one.answers) for one in told) > least * len(told)
+
+    play(tmp_path, behaviours, story, Weather(lost=0.05, doubled=0.05, late=0.1))
+
+
+def test_a_server_that_takes_datagrams_and_never_answers_is_left_to_trials(tmp_path):
+    async def story(servers, balancer, address, _):
+        nas = await client(address, rate=150.0, first=2.5, tries=0)
+        await nas.run(5.0)
+        late = [one for one in nas.told if one.due > nas.told[0].due + 2.5]
+        assert sum(bool(one.answers) for one in late) > 0.95 * len(late) and servers[0].met > 5
+        assert all(count == 1 for count in ran(servers[1:]).values())
+        assert balancer.said("outcome=\"timed out\"")
+
+    play(tmp_path, [Behaviour(deaf=True), Behaviour(), Behaviour()], story, patience="1s")
+
+
+def test_silence_is_the_answer_where_nothing_can_be_done_and_what_may_have_run_stays_so(tmp_path):
+    async def story(servers, balancer, address, _):
+        nas = await client(address, rate=20.0, first=0.4, tries=4)
+        await nas.run(0.5)
+        assert nas.told and not any(one.answers for one in nas.told)
+        assert all(one.sent == 5 for one in nas.told)
+        assert max(ran(servers).values()) == 1
+
+    play(tmp_path, [Behaviour(silent=1.0), Behaviour(silent=1.0)], story, patience="1s")
+
+
+def test_forged_strange_and_flooding_packets_get_no_answer_and_cost_no_record(tmp_path):
+    async def story(servers, balancer, address, other):
+        forger = await client(address, secret=b"guess", rate=300.0, first=0.2, tries=0)
+        plain = await client(address, rate=50.0, seed=2)
+        loop = asyncio.get_running_loop()
+        noise, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol, ("127.0.0.1", 0))
+        for size in (0, 1, 19, 20, 64, 4096, 4097, 9000):
+            noise.sendto(os.urandom(size), address)
+        looped = request(1, [(40, b"\0\0\0\1"), *[(33, b"p")] * 9], SECRET)
+        noise.sendto(looped, address)
+        noise.sendto(request(2, [(44, b"no status")], SECRET), address)
+        await asyncio.gather(forger.run(1.0), plain.run(1.0))
+        noise.close()
+        assert not any(one.answers for one in forger.told) and all(one.answers for one in plain.told)
+        assert sum(ran(servers).values()) == len(plain.told)
+        assert balancer.said("event=radius_bad_request")
+
+    play(tmp_path, [Behaviour()], story)
+
+
+def test_secrets_change_under_load_and_two_hold_meanwhile(tmp_path):
+    async def story(servers, balancer, address, other):
+        both = [await client(address, secret=secret, seed=seed, rate=60.0)
+                for seed, secret in enumerate((b"old", b"partner"))]
+        new = other().replace('secrets = ["old", "partner"]', 'secrets = ["partner", "new"]')
+
+        async def change():
+            await asyncio.sleep(1.2)
+            await asyncio.to_thread(balancer.reload, new)
+            begun = asyncio.get_running_loop().time()
+            third = await client(address, secret=b"new", seed=9, rate=60.0)
+            await third.run(0.6)
+            return begun, third
+
+        _, _, (begun, third) = await asyncio.gather(both[0].run(1.0), both[1].run(2.0), change())
+        assert all(one.answers for made in (*both, third) for one in made.told)
+        old = await client(address, secret=b"old", seed=10, rate=60.0, first=0.1, tries=1)
+        await old.run(0.3)
+        assert not any(one.answers for one in old.told)
+
+    play(tmp_path, [Behaviour(), Behaviour()], story)
+
+
+def test_the_same_record_sent_again_in_other_words_is_answered_in_each(tmp_path):
+    async def story(servers, balancer, address, _):
+        got = []
+
+        class Listener(asyncio.DatagramProtocol):
+            def datagram_received(self, data, addr):
+                got.append(data)
+
+        loop = asyncio.get_running_loop()
+        noise, _ = await loop.create_datagram_endpoint(Listener, ("127.0.0.1", 0))
+        same = [(32, b"n"), (44, b"s"), (40, b"\0\0\0\1")]
+        asked = [request(ident, [*same, (41, bytes((0, 0, 0, ident)))], SECRET) for ident in range(3)]
+        for data in asked:  # the server takes its time
+            noise.sendto(data, address)
+            noise.sendto(data, address)
+        ends = time.monotonic() + 5.0
+        while len(got) < 3 and time.monotonic() < ends:
+            await asyncio.sleep(0.01)
+        noise.sendto(asked[2], address)
+        while len(got) < 4 and time.monotonic() < ends:
+            await asyncio.sleep(0.01)
+        noise.close()
+        assert all(any(proved(reply, data, SECRET) for reply in got) for data in asked)
+        assert {value for reply in got for kind, value in attributes(reply) if kind == 25} == {b"r0"}
+        assert list(ran(servers).values()) == [1]
+
+    play(tmp_path, [Behaviour(delay=0.3)], story)
+
+
+@pytest.mark.parametrize("old, new, said", [
+    ('secret = "server"', "", "pools.acct.radius: either secret or secret_file"),
+    ('secret = "server"', 'secret_file = "/nowhere"', "pools.acct.radius.secret_file: "),
+    ('protocol = "radius"', "", "pools.acct.radius: belongs to protocol"),
+    ('networks = ["127.0.0.0/8"]', 'networks = ["127.0.0.1/8"]', "radius.clients.partner.networks: "),
+    ('secrets = ["old", "partner"]', "secrets = []", "radius.clients.partner: needs networks"),
+    ('pool = "acct"', 'pool = "none"', "radius.routes.all.pool: 'none' is no pool"),
+    ('name = "all"', 'name = "all"\nstatuses = ["begin"]', "radius.routes[0].statuses[0]: 'begin' is none"),
+    ('name = "all"', 'name = "all"\nclient = "x"', "radius.routes.all.client: 'x' is none of partner"),
+    ("[radius]\n", "[radius]\nport = 1\n", "radius.port: is no key here"),
+    ("[[radius.routes]]", '[[radius.routes]]\nname = "a"\npool = "acct"\n[[radius.routes]]',
+     "radius.routes.all: takes"),
+])
+def test_a_faulty_radius_part_is_named_by_its_key(tmp_path, old, new, said):
+    server = type("Server", (), {"name": "r", "port": 1})
+    table = text("127.0.0.1:1", "127.0.0.1:2", [server])
+    operator.made(tomllib.loads(table))
+    assert old in table
+    with pytest.raises(ConfigFault) as fault:
+        operator.made(tomllib.loads(table.replace(old, new)))
+    assert said in str(fault.value), str(fault.value)
+
+
+def test_a_secret_in_a_file_that_others_may_read_is_refused(tmp_path):
+    file = tmp_path / "secret"
+    file.write_bytes(b"s3cret\n")
+    file.chmod(0o644)
+    with pytest.raises(ConfigFault, match="may be read by others"):
+        operator.kept_secret(str(file), "at")
+    file.chmod(0o600)
+    assert operator.kept_secret(str(file), "at") == b"s3cret"
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -608,10 +608,10 @@
                 async with anyio.create_task_group() as clients:
                     for number in range(40):
                         clients.start_soon(client, number)
-                while balancer.ids or balancer.front.clients or pool.choice.split.total:
+                while balancer.ids or balancer.fronts[0].clients or pool.choice.split.total:
                     await anyio.sleep(0.01)
             assert all(seen == total == sockets for seen, total, sockets in pictures)
-            assert (pool.out, len(balancer.front.strangers)) == (0, 0)
+            assert (pool.out, len(balancer.fronts[0].strangers)) == (0, 0)
             part = pool.part
             assert (part.tasks.used, part.bodies.used, part.requests.used) == (0, 0, 0)
             assert pool.on_wire() == 0 and all(seen.out == 0 for seen in pool.choice.split.ready)
@@ -626,7 +626,7 @@
     balancer, pool = whole.loop, held(whole)
 
     def turned_back():
-        return whole.front.no_room(pool) or pool.part.tasks.give()
+        return whole.fronts[0].no_room(pool) or pool.part.tasks.give()
 
     at, at_ease = balancer.clock(), balancer.margin()
     balancer.clock = lambda: at
--- a/whinpier/__main__.py
+++ b/whinpier/__main__.py
@@ -48,7 +48,15 @@
             except OSError as fault:
                 log.warn("cannot_listen", address="%s:%d" % address, fault=fault)
                 return 1
-        anyio.run(run, listeners, Life(spec, Http1(), reread, changed))
+        wire = Http1()
+        if spec.radius:
+            from whinpier.radius.wire import Taken, WithRadius, bound  # only where a file has it
+            try:
+                wire = WithRadius(bound(spec.radius))
+            except Taken as fault:
+                log.warn("cannot_listen", address="%s:%d" % fault.address, fault=fault)
+                return 1
+        anyio.run(run, listeners, Life(spec, wire, reread, changed))
     finally:
         for listener in listeners:
             listener.close()
--- a/whinpier/cli/lab.py
+++ b/whinpier/cli/lab.py
@@ -178,19 +178,21 @@
 @lab.command()
 @click.argument("results", type=FOLDER)
 @click.option("--out", type=FOLDER, default=None)
+@click.option("--values", "chosen", multiple=True, metavar="PATH=VALUE", help="Only these runs.")
 @click.option("--json", "as_json", is_flag=True)
-def report(results: Path, out: Path | None, as_json: bool) -> None:
+def report(results: Path, out: Path | None, chosen: tuple[str, ...], as_json: bool) -> None:
     """Draw RESULTS: one HTML file, a PNG for each plot, a table as JSON."""
     from whinpier.lab.report import groups, summary, write
-    from whinpier.lab.results import Results
+    from whinpier.lab.results import Results, matching
 
     kept = Results(results)
     try:
         if as_json:
             kept.header()
-            click.echo(json.dumps(summary(groups(kept.rows())), indent=1))
+            rows = matching(kept.rows(), values(chosen))
+            click.echo(json.dumps(summary(groups(rows)), indent=1))
             return
-        click.echo(str(write(kept, out or results / "report")))
+        click.echo(str(write(kept, out or results / "report", values(chosen))))
     except ConfigFault as fault:
         fail(str(fault))
     except ImportError as missing:
--- a/whinpier/config/operator.py
+++ b/whinpier/config/operator.py
@@ -13,8 +13,9 @@
 import tomllib
 from collections.abc import Callable, Iterable
 from dataclasses import fields as fields_of
+from ipaddress import IPv4Network
 from random import SystemRandom
-from typing import Annotated, Any, Literal, TypeVar, get_args, get_origin
+from typing import TYPE_CHECKING, Annotated, Any, Literal, TypeVar, get_args, get_origin
 
 import msgspec
 from msgspec import Meta, Struct
@@ -25,6 +26,9 @@
 from whinpier.runtime.budget import DOOR, MOST_DOOR, spare
 from whinpier.spec import ConfigFault, Entry, Fields, Limits, PoolSpec, Spec, address, differs
 
+if TYPE_CHECKING:
+    from whinpier.radius.spec import RadiusSpec, ServerSpec
+
 LARGEST = 8 * 1024 * 1024  # of the file: ten thousand routes are a tenth of it
 MOST_POOLS, MOST_ROUTES = 256, 20_000  # what is still checked within a second or two
 LEAST = 16  # connections for each pool: with fewer nothing can be held apart
@@ -93,10 +97,58 @@
     bodies_kb: Count | None = None
 
 
+class ServersTable(Strict, frozen=True):
+    """How the RADIUS servers of a pool are spoken to."""
+
+    secret: str = ""
+    secret_file: str = ""
+    sign: bool = True
+    signed: bool = False
+    retransmit: Duration = "500ms"
+    retransmissions: Annotated[int, Meta(ge=0, le=10)] = 3
+    sockets: Annotated[int, Meta(ge=1, le=64)] = 4
+    quarantine: Duration = "10s"
+
+
+class ClientTable(Strict, frozen=True):
+    """Who may send RADIUS packets."""
+
+    networks: list[str]
+    secrets: list[str] = []
+    secret_files: list[str] = []
+    signed: bool = True
+    most: Count = 2_000
+
+
+class RecordRouteTable(Strict, frozen=True):
+    """Which records go where."""
+
+    name: str
+    pool: str
+    workload: str = ""
+    realm: str = ""
+    statuses: list[Literal["start", "stop", "interim", "on", "off"]] = []
+    client: str = ""
+    nas: str = ""
+
+
+class RadiusTable(Strict, frozen=True):
+    """The RADIUS side."""
+
+    listen: list[str]
+    clients: dict[str, Any]
+    routes: list[Any]
+    kept: Duration = "30s"
+    most: Annotated[int, Meta(ge=256, le=4_000_000)] = 65_536
+    records: bool = True
+
+
 class PoolTable(Strict, frozen=True):
     """One pool."""
 
     workloads: dict[str, Any]
+    protocol: Literal["http", "radius"] = "http"
+    radius: ServersTable | None = None
     upstreams: list[Any] | None = None
     discovery: str | None = None
     limits: LimitsTable = LimitsTable()
@@ -152,7 +204,8 @@
     version: Literal[1]
     listen: list[str]
     pools: dict[str, Any]
-    routes: list[Any]
+    routes: list[Any] = []
+    radius: Any = None
     name: str = "balancer"
     up: str = "/up"
     process: ProcessTable = ProcessTable()
@@ -299,7 +352,99 @@
         known=entries(table.upstreams or [], table, f"{at}.upstreams"),
         limits=Limits(guaranteed, limits.tasks, limits.connections,
                       limits.bodies_kb * 1024 if limits.bodies_kb else None),
-        passed_on=frozenset(table.statuses))
+        passed_on=frozenset(table.statuses), protocol=table.protocol, server=servers(table, at))
+
+
+def servers(table: PoolTable, at: str) -> ServerSpec | None:
+    """How a pool's RADIUS servers are spoken to; None of a pool that speaks HTTP."""
+    if (table.protocol == "radius") != (table.radius is not None):
+        raise ConfigFault(f"{at}.radius: belongs to protocol = \"radius\", and such a pool needs it")
+    if table.radius is None:
+        return None
+    from whinpier.radius.spec import ServerSpec
+
+    given, here = table.radius, f"{at}.radius"
+    if bool(given.secret) == bool(given.secret_file):
+        raise ConfigFault(f"{here}: either secret or secret_file")
+    secret = given.secret.encode() if given.secret else kept_secret(given.secret_file, f"{here}.secret_file")
+    return ServerSpec(secret, given.sign, given.signed,
+                      duration(given.retransmit, f"{here}.retransmit", 10 * UNITS["ms"]),
+                      given.retransmissions, given.sockets, duration(given.quarantine, f"{here}.quarantine"))
+
+
+def kept_secret(path: str, at: str) -> bytes:
+    """A secret from a file that only its owner may read."""
+    try:
+        mode = os.stat(path).st_mode
+        if not stat.S_ISREG(mode):
+            raise ConfigFault(f"{at}: {path} is no plain file")
+        if mode & 0o077:
+            raise ConfigFault(f"{at}: {path} may be read by others (mode {stat.S_IMODE(mode):o}, not 600)")
+        with open(path, "rb") as file:
+            secret = file.read(4096).strip()
+    except OSError as fault:
+        raise ConfigFault(f"{at}: {fault}") from None
+    if not secret:
+        raise ConfigFault(f"{at}: {path} is empty")
+    return secret
+
+
+def radius(value: Any, pools: dict[str, PoolSpec]) -> RadiusSpec:
+    """The RADIUS side of the process."""
+    from whinpier.radius.packet import STATUSES
+    from whinpier.radius.spec import ClientSpec, RadiusSpec, RouteSpec
+
+    table = part(value, RadiusTable, "radius")
+    listen = [address(text, f"radius.listen[{index}]") for index, text in enumerate(table.listen)]
+    if not listen or len(set(listen)) < len(listen):
+        raise ConfigFault("radius.listen: names no address, or one twice")
+    clients, taken = list[ClientSpec](), dict[IPv4Network, str]()
+    for name, inner in table.clients.items():
+        at = f"radius.clients.{named(name, 'radius.clients')}"
+        client = part(inner, ClientTable, at)
+        networks = list[IPv4Network]()
+        for text in client.networks:
+            try:
+                network = IPv4Network(text)
+            except ValueError as fault:
+                raise ConfigFault(f"{at}.networks: {text!r}: {fault}") from None
+            if network in taken:
+                raise ConfigFault(f"{at}.networks: {text} is {taken[network]}'s")
+            taken[network] = name
+            networks.append(network)
+        secrets = [secret.encode() for secret in client.secrets]
+        secrets += [kept_secret(path, f"{at}.secret_files") for path in client.secret_files]
+        if not networks or not secrets or not all(secrets) or len(secrets) > 4:
+            raise ConfigFault(f"{at}: needs networks, and one to four secrets that are not empty")
+        clients.append(ClientSpec(name, tuple(networks), tuple(secrets), client.signed, client.most))
+    if not clients:
+        raise ConfigFault("radius.clients: none is named")
+    numbers = {text: number for number, text in STATUSES.items()}
+    routes = list[RouteSpec]()
+    for index, inner in enumerate(table.routes):
+        one = part(inner, RecordRouteTable, f"radius.routes[{index}]")
+        at = f"radius.routes.{named(one.name, f'radius.routes[{index}].name')}"
+        spec = pools.get(one.pool)
+        if spec is None or spec.protocol != "radius":
+            raise ConfigFault(f"{at}.pool: {one.pool!r} is no pool that speaks RADIUS")
+        kinds = [workload.name for workload in spec.workloads]
+        name = one.workload or (kinds[0] if len(kinds) == 1 else "")
+        if name not in kinds:
+            raise ConfigFault(f"{at}.workload: {name!r} is none of {', '.join(kinds)}")
+        if one.client and one.client not in table.clients:
+            raise ConfigFault(f"{at}.client: {one.client!r} is none of {', '.join(table.clients)}")
+        found = RouteSpec(one.name, one.pool, name, one.realm.lower(),
+                          frozenset(numbers[text] for text in one.statuses), one.client, one.nas)
+        for other in routes:
+            same = (found.realm, found.client, found.nas) == (other.realm, other.client, other.nas)
+            both = found.statuses & other.statuses or found.statuses == other.statuses
+            if other.name == found.name or same and both:
+                raise ConfigFault(f"{at}: takes the same records as {other.name}, or has its name")
+        routes.append(found)
+    if not routes:
+        raise ConfigFault("radius.routes: none is named")
+    return RadiusSpec(tuple(listen), tuple(clients), tuple(sorted(routes, key=RouteSpec.rank)),
+                      duration(table.kept, "radius.kept", UNITS["s"]), table.most, table.records)
 
 
 class To(Struct, frozen=True):
@@ -380,8 +525,12 @@
         compiled = Table(routes)
     except RouteFault as fault:
         raise ConfigFault(f"{', '.join(f'routes.{name}' for name in fault.routes)}: {fault}") from None
+    for one in routes:
+        if pools[one.to.pool].protocol != "http":
+            raise ConfigFault(f"routes.{one.name}.pool: {one.to.pool!r} speaks {pools[one.to.pool].protocol}")
+    records = radius(table.radius, pools) if table.radius is not None else None
     spec = Spec(table.name, listen, seed, table.process.descriptors, table.process.memory_mb << 20, pools,
-                compiled, table.up.encode(), table.process.isolate)
+                compiled, records, table.up.encode(), table.process.isolate)
     check_room(spec)
     return spec
 
@@ -426,7 +575,9 @@
 
 def changes(old: Spec, new: Spec) -> Iterable[str]:
     """Which keys of the process differ and wait for a restart. A seed that is not given is no change."""
-    return [key for key in KEPT_TILL_RESTART if key != "seed" and getattr(old, key) != getattr(new, key)]
+    found = [key for key in KEPT_TILL_RESTART if key != "seed" and getattr(old, key) != getattr(new, key)]
+    addresses = [spec.radius.listen if spec.radius else () for spec in (old, new)]
+    return found + ["radius.listen"] * (addresses[0] != addresses[1])
 
 
 def differences(old: Spec, new: Spec) -> list[str]:
--- a/whinpier/lab/baselines.py
+++ b/whinpier/lab/baselines.py
@@ -99,8 +99,9 @@
                 wait += server.failing * 10.0
             if wait < least:
                 best, least = seen, wait
-        left = (task.ends - world.clock.now) / SECOND
-        return best if least < left else None
+        # What would be late it holds or turns back: in a surge a queue of late tasks serves nobody.
+        left = (task.came + task.workload.agreed_time - world.clock.now) / SECOND
+        return best if least < max(left, 0.0) else None
 
 
 POLICIES: dict[str, Callable[[Choice, dict[str, Any], int], Split]] = {
--- a/whinpier/lab/report.py
+++ b/whinpier/lab/report.py
@@ -17,7 +17,7 @@
 
 from whinpier.choice import level
 from whinpier.lab.experiment import File, checked
-from whinpier.lab.results import FIGURES, Results, Row
+from whinpier.lab.results import FIGURES, Results, Row, matching
 
 MOST_LINES = 12  # curves in one plot: more can't be told apart
 STYLE = """body{font:15px/1.45 system-ui,sans-serif;max-width:62em;margin:2em auto;padding:0 1em;color:#222}
@@ -134,9 +134,9 @@
         axis.set_ylabel(ylabel)
         axis.grid(alpha=0.3)
         axis.axvspan(0, self.experiment.warm, color="#888888", alpha=0.15, label="not counted")
-        for trouble in self.experiment.troubles:
-            axis.axvspan(trouble.at, trouble.at + trouble.span, color="#d62728", alpha=0.08)
-            axis.text(trouble.at, 0.02, trouble.kind, transform=axis.get_xaxis_transform(), fontsize=8,
+        for trouble in self.groups[0].troubles if len({str(g.troubles) for g in self.groups}) == 1 else []:
+            axis.axvspan(trouble["at"], trouble["at"] + trouble["span"], color="#d62728", alpha=0.08)
+            axis.text(trouble["at"], 0.02, trouble["kind"], transform=axis.get_xaxis_transform(), fontsize=8,
                       color="#a00000")
         return figure, axis
 
@@ -209,11 +209,11 @@
              "broken": dict(group.breaches), "failed": len(group.failed)} for group in found]
 
 
-def write(results: Results, out: Path) -> Path:
-    """Write `report.html`, its PNGs and `report.json` into a folder; the HTML file's path."""
+def write(results: Results, out: Path, only: dict[str, Any] | None = None) -> Path:
+    """Write `report.html`, its PNGs and `report.json` into a folder, of runs with these values."""
     header = results.header()
     experiment = checked(header["experiment"])
-    found = groups(results.rows())
+    found = groups(matching(results.rows(), only or {}))
     out.mkdir(parents=True, exist_ok=True)
     table = summary(found)
     (out / "report.json").write_text(json.dumps(table, indent=1) + "\n")
--- a/whinpier/lab/results.py
+++ b/whinpier/lab/results.py
@@ -159,9 +159,9 @@
 }
 
 
-def matching(rows: Iterable[Row], chosen: dict[str, Any]) -> list[Row]:
-    """The rows whose values are these."""
-    return [row for row in rows if all(row["values"].get(path) == value for path, value in chosen.items())]
+def matching(rows: Iterable[Row], chosen: dict[str, Any]) -> Iterator[Row]:
+    """The rows whose values are these, one at a time."""
+    return (row for row in rows if all(row["values"].get(path) == value for path, value in chosen.items()))
 
 
 def compare(first: Iterable[Row], second: Iterable[Row], apart: Iterable[str] = ()) -> list[Difference]:
--- a/whinpier/net/door.py
+++ b/whinpier/net/door.py
@@ -141,6 +141,11 @@
                 log.fault("accept_failed")
                 await anyio.sleep(0.01)
 
+    def start(self, listeners: list[socket.socket]) -> None:
+        for listener in listeners:
+            self.loop.tasks.start_soon(self.accept, listener)
+            log.say("listening", address="%s:%d" % listener.getsockname(), debug=__debug__)
+
     def sweep(self) -> None:
         """Every wait has an end."""
         now = self.loop.clock()
--- a/whinpier/net/wire.py
+++ b/whinpier/net/wire.py
@@ -16,11 +16,12 @@
 class Http1:
     """HTTP/1.1 on both sides."""
 
-    def front(self, life: Life) -> Front:
-        return Door(life, self.router(life))
+    def fronts(self, life: Life) -> list[Front]:
+        return [Door(life, self.router(life))]
 
-    def reroute(self, front: Front, life: Life) -> None:
+    def reroute(self, fronts: list[Front], life: Life) -> None:
         """Follow the routes that now hold; what has its pool already goes on there."""
+        front = fronts[0]
         assert isinstance(front, Door)
         front.router, front.up = self.router(life), life.spec.up
 
--- /dev/null
+++ b/whinpier/radius/spec.py
@@ -0,0 +1,89 @@
+"""Plain types of what is configured for RADIUS, and which client a datagram is from. Reads no file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from ipaddress import IPv4Address, IPv4Network
+
+from whinpier.decay import SECOND
+from whinpier.radius import packet as wire
+from whinpier.radius.packet import Packet
+from whinpier.spec import Address
+
+
+@dataclass(frozen=True)
+class ClientSpec:
+    """Who may send: addresses, the secrets that hold just now (two during a change), how strictly."""
+
+    name: str
+    networks: tuple[IPv4Network, ...]
+    secrets: tuple[bytes, ...]
+    signed: bool = True  # a Message-Authenticator is needed, against forged packets
+    most: int = 2_000  # packets a second that are looked at
+
+
+@dataclass(frozen=True)
+class ServerSpec:
+    """How a pool's servers are spoken to."""
+
+    secret: bytes
+    sign: bool = True  # packets to them have a Message-Authenticator
+    signed: bool = False  # and answers need one
+    retransmit: int = SECOND // 2
+    retransmissions: int = 3
+    sockets: int = 4  # each of 256 identifiers
+    quarantine: int = 10 * SECOND
+
+
+@dataclass(frozen=True)
+class RouteSpec:
+    """Which records go where; the first that fits, in the file's order as it was sorted by its checks."""
+
+    name: str
+    pool: str
+    workload: str
+    realm: str = ""  # after the @ of the user's name; `*.x` for any below; empty: any
+    statuses: frozenset[int] = frozenset()
+    client: str = ""
+    nas: str = ""
+
+    def rank(self) -> tuple[int, ...]:
+        """The most specific first."""
+        by_realm = 2 if not self.realm else 1 if self.realm.startswith("*.") else 0
+        return by_realm, -len(self.realm), not self.client, not self.nas, not self.statuses
+
+    def takes(self, packet: Packet, client: str) -> bool:
+        if self.client and self.client != client:
+            return False
+        if self.statuses and packet.number(wire.STATUS_TYPE) not in self.statuses:
+            return False
+        if self.nas and (packet.first(wire.NAS_IDENTIFIER) or b"").decode("utf-8", "replace") != self.nas:
+            return False
+        if not self.realm:
+            return True
+        name = (packet.first(wire.USER_NAME) or b"").decode("utf-8", "replace").lower()
+        realm = name.rpartition("@")[2] if "@" in name else ""
+        return realm.endswith(self.realm[1:]) if self.realm.startswith("*.") else realm == self.realm
+
+
+@dataclass(frozen=True)
+class RadiusSpec:
+    """The RADIUS side of a process."""
+
+    listen: tuple[Address, ...]
+    clients: tuple[ClientSpec, ...]
+    routes: tuple[RouteSpec, ...]  # the most specific first
+    kept: int = 30 * SECOND  # how long an answer is given again
+    most: int = 65_536  # requests that are remembered
+    records: bool = True  # whether a record is known again by what it says
+
+
+def client_of(clients: tuple[ClientSpec, ...], address: str) -> ClientSpec | None:
+    """Whose address it is: the narrowest network wins."""
+    found, at = None, IPv4Address(address)
+    width = -1
+    for client in clients:
+        for network in client.networks:
+            if at in network and network.prefixlen > width:
+                found, width = client, network.prefixlen
+    return found
--- /dev/null
+++ b/whinpier/radius/wire.py
@@ -0,0 +1,61 @@
+"""Puts RADIUS beside HTTP/1.1 for the life of the process; not imported where no file has it."""
+
+from __future__ import annotations
+
+import socket
+
+from whinpier.net.wire import Http1
+from whinpier.radius.back import Server
+from whinpier.radius.front import Front as RadiusFront
+from whinpier.radius.spec import RadiusSpec, ServerSpec
+from whinpier.runtime.life import Front, Life
+from whinpier.runtime.pool import Peer, Pool
+from whinpier.spec import Address, Entry
+
+
+class WithRadius(Http1):
+    """HTTP/1.1 and RADIUS, each with its own front; a pool's servers speak the pool's protocol."""
+
+    def __init__(self, sockets: list[socket.socket]) -> None:
+        self.sockets = sockets
+
+    def fronts(self, life: Life) -> list[Front]:
+        found = super().fronts(life)
+        if life.spec.radius:
+            found.append(RadiusFront(life, life.spec.radius, self.sockets))
+        return found
+
+    def reroute(self, fronts: list[Front], life: Life) -> None:
+        super().reroute(fronts, life)
+        for front in fronts[1:]:
+            if isinstance(front, RadiusFront) and life.spec.radius:
+                front.follow(life.spec.radius)
+
+    def peer(self, pool: Pool, entry: Entry, number: int) -> Peer:
+        if pool.spec.protocol != "radius":
+            return super().peer(pool, entry, number)
+        assert isinstance(pool.spec.server, ServerSpec)
+        return Server(pool, entry, number, pool.spec.server)
+
+
+def bound(spec: RadiusSpec) -> list[socket.socket]:
+    """Its sockets. Raises OSError, with the address as its last argument, where one can't be had."""
+    found: list[socket.socket] = []
+    for address in spec.listen:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        found.append(sock)
+        try:
+            sock.bind(address)
+        except OSError as fault:
+            for one in found:
+                one.close()
+            raise Taken(address, fault) from None
+    return found
+
+
+class Taken(Exception):
+    """An address that can't be had."""
+
+    def __init__(self, address: Address, fault: OSError) -> None:
+        super().__init__(str(fault))
+        self.address = address
--- a/whinpier/runtime/budget.py
+++ b/whinpier/runtime/budget.py
@@ -29,7 +29,8 @@
     """Descriptors that no client and no upstream gets."""
     if not spec.routed:
         return SPARE
-    return SPARE + len(spec.listen) + sum(pool.discovery is not None for pool in spec.pools.values())
+    listeners = len(spec.listen) + (len(spec.radius.listen) if spec.radius else 0)
+    return SPARE + listeners + sum(pool.discovery is not None for pool in spec.pools.values())
 
 
 class Held:
--- a/whinpier/runtime/life.py
+++ b/whinpier/runtime/life.py
@@ -37,9 +37,9 @@
 class Front(Protocol):
     """A protocol's side towards clients."""
 
-    def sweep(self) -> None: ...
+    def start(self, listeners: list[socket.socket]) -> None: ...
 
-    async def accept(self, listener: socket.socket) -> None: ...
+    def sweep(self) -> None: ...
 
     def anyone(self) -> bool: ...
 
@@ -53,9 +53,10 @@
 class Wire(Protocol):
     """A protocol, as the life of the process puts it together."""
 
-    def front(self, life: Life) -> Front: ...
+    def fronts(self, life: Life) -> list[Front]:
+        """The first of them takes the listeners of the process."""
 
-    def reroute(self, front: Front, life: Life) -> None: ...
+    def reroute(self, fronts: list[Front], life: Life) -> None: ...
 
     def peer(self, pool: Pool, entry: Entry, number: int) -> Peer: ...
 
@@ -84,7 +85,7 @@
         first = next(iter(self.pools.values()))
         self.random = self.chance.random if spec.routed else first.choice.split.random
         self.budget.idle = self.idle
-        self.front = wire.front(self)
+        self.fronts = wire.fronts(self)
 
     def add(self, spec: PoolSpec) -> Pool:
         seed = self.chance.getrandbits(64) if self.spec.routed else self.spec.seed
@@ -162,13 +163,18 @@
     def as_run(self, new: Spec) -> Spec:
         """A new file as it can be run by: what waits for a restart is as it was."""
         old = self.spec
-        return replace(new, name=old.name, listen=old.listen, seed=old.seed, sockets=old.sockets,
-                       memory=old.memory, isolate=old.isolate)
+        radius = new.radius
+        if (radius is None) != (old.radius is None):
+            radius = old.radius
+        return replace(new, radius=radius, name=old.name, listen=old.listen, seed=old.seed,
+                       sockets=old.sockets, memory=old.memory, isolate=old.isolate)
 
     def apply(self, new: Spec) -> None:
         """Pools and routes as the new file has them, in one step between two events of the loop."""
         before, self.spec = self.spec, new
         self.budget.resize(spare(new))
+        leaving = [self.pools.pop(name) for name in list(self.pools) if name not in new.pools
+                   or new.pools[name].protocol != before.pools[name].protocol]
         for name, spec in new.pools.items():
             if name not in self.pools:
                 self.add(spec).start()
@@ -176,8 +182,7 @@
             elif keys := differs(before.pools[name], spec):
                 self.pools[name].change(spec)
                 log.say("pool_changed", pool=name, keys=",".join(keys))
-        leaving = [self.pools.pop(name) for name in list(self.pools) if name not in new.pools]
-        self.wire.reroute(self.front, self)
+        self.wire.reroute(self.fronts, self)
         for pool in leaving:
             self.going.add(pool)
             log.say("pool_leaves", pool=pool.name, out=pool.out)
@@ -205,7 +210,7 @@
             log.must(pool.on_wire() == pool.choice.split.total, "what is counted as out is out on a socket")
             if self.spec.routed:
                 log.say("pool", pool=pool.name, **pool.part.figures(), **pool.counts)
-        log.say("figures", out=sum(pool.out for pool in pools), **self.front.figures(),
+        log.say("figures", out=sum(pool.out for pool in pools), **self.told(),
                 links=self.budget.links.used, alarms=len(self.loop.alarms), lag_ms=self.loop.lag // MS,
                 collect_ms=self.stopped // MS, cpu_s=round(time.process_time(), 2), **log.counts)
         self.loop.lag = self.stopped = 0
@@ -232,23 +237,27 @@
         run does not start sooner for an early end, and there may be no other balancer.
         """
         loop = self.loop
-        log.say("stopping", out=self.out(), **self.front.figures())
+        log.say("stopping", out=self.out(), **self.told())
         longest = max(workload.patience for spec in self.spec.pools.values() for workload in spec.workloads)
         self.stop_by = loop.clock() + min(longest, LONGEST) + AFTERWARDS
         for task in list(self.ids.values()):
             task.pool.shorten(task, self.stop_by - loop.margin())
         await anyio.sleep(STILL_COMING / SECOND)
-        while self.front.anyone() and loop.clock() < self.stop_by - CLOSING:
+        while any(front.anyone() for front in self.fronts) and loop.clock() < self.stop_by - CLOSING:
             await anyio.sleep(0.01)
         self.closing = True
-        self.front.close_idle()
-        while self.out() or self.front.owes():
+        for front in self.fronts:
+            front.close_idle()
+        while self.out() or any(front.owes() for front in self.fronts):
             if loop.clock() > self.stop_by:
                 break
             await anyio.sleep(0.01)
         log.say("stopped", out=self.out(), **self.total())
         loop.tasks.cancel_scope.cancel()
 
+    def told(self) -> dict[str, int]:
+        return {name: count for front in self.fronts for name, count in front.figures().items()}
+
     def total(self) -> dict[str, Any]:
         """All counters, those of the pools added up."""
         counts = Counter(log.counts)
@@ -269,13 +278,12 @@
             for pool in self.pools.values():
                 pool.start()
             loop.at(loop.clock() + SWEEP, loop, self.sweep)
-            loop.at(loop.clock() + SWEEP, loop, self.front.sweep)
+            for front in self.fronts:
+                front.start(listeners if front is self.fronts[0] else [])
+                loop.at(loop.clock() + SWEEP, loop, front.sweep)
             loop.at(loop.clock() + FIGURES, loop, self.figures)
             # What is there by now stays: collecting it over and over would only stop the loop.
             gc.callbacks.append(self.collecting)
             gc.freeze()
             gc.set_threshold(10_000, 20, 50)
             loop.tasks.start_soon(loop.ring)
-            for listener in listeners:
-                loop.tasks.start_soon(self.front.accept, listener)
-                log.say("listening", address="%s:%d" % listener.getsockname(), debug=__debug__)
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -81,6 +81,9 @@
     def retire(self) -> None:
         """It is to get nothing new: what is not sent yet is not sent, and is moot."""
 
+    def configured(self) -> None:
+        """Its pool goes on by another configuration."""
+
     def sweep(self) -> None:
         """Let go of what has been idle for too long."""
 
@@ -168,6 +171,8 @@
                 spec.workloads[index] = old
         self.settle_names(spec)
         self.part.change(spec.limits)
+        for peer in self.peers():
+            peer.configured()
         self.loop.enter(self, self.choice.change, spec.settings, list(spec.workloads))
         if spec.discovery is None:
             if self.source:
--- a/whinpier/spec.py
+++ b/whinpier/spec.py
@@ -10,6 +10,7 @@
 from whinpier.model import DRAINING, GONE, READY, Workload
 
 if TYPE_CHECKING:
+    from whinpier.radius.spec import RadiusSpec, ServerSpec
     from whinpier.routing.table import Table
 
 Address = tuple[str, int]
@@ -84,6 +85,8 @@
     seq: int | None = None
     limits: Limits = Limits()
     passed_on: frozenset[int] = frozenset((200,))  # statuses that are an answer, not an error
+    protocol: str = "http"
+    server: ServerSpec | None = None  # how RADIUS servers are spoken to
 
 
 def differs(old: PoolSpec, new: PoolSpec) -> list[str]:
@@ -106,6 +109,7 @@
     memory: int  # bytes
     pools: dict[str, PoolSpec]
     table: Table | None = None  # of the operator's routes; None on the platform
+    radius: RadiusSpec | None = None
     up: bytes = b"/up"  # where a front asks whether this balancer is ready
     isolate: bool = True  # whether pools have guaranteed parts
 
