--- /dev/null
+++ b/benchmarks/radius.py
@@ -0,0 +1,160 @@
+"""RADIUS records on a network that loses, doubles and delays datagrams, with silent and late servers.
+
+Counts by the stand-ins' ledgers: executions and answers' contents for each record. A run without faults gives
+the on-time share to compare with, and CPU a packet; HTTP tasks in the same process are held against HTTP
+alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from benchmarks.common import Report, apart, main, upstream_list
+from whinpier.standin.clients import Asks, Gateway
+from whinpier.standin.fleet import Fleet
+from whinpier.standin.load import Load
+from whinpier.standin.process import Balancer, free_address
+from whinpier.standin.radius import Behaviour, Client, Server, Weather
+from whinpier.standin.upstream import Script
+
+CLIENTS, RATE, AGREED = 4, 100.0, 1.5  # seconds: one retransmission of a client is in time
+HTTP_RATE = 150.0
+
+
+def operator(listen: str, radius: str, servers: list[Server], fleet: Fleet) -> str:
+    records = upstream_list({server.name: f"127.0.0.1:{server.port}" for server in servers})
+    return f"""version = 1
+listen = ["{listen}"]
+[pools.records]
+protocol = "radius"
+upstreams = {records}
+[pools.records.radius]
+secret = "server"
+retransmit = "150ms"
+[pools.records.workloads.record]
+kind = "exclusive"
+agreed_time = "1s"
+patience = "3s"
+[pools.charges]
+upstreams = {upstream_list(fleet.addresses)}
+[pools.charges.workloads.charge]
+kind = "exclusive"
+agreed_time = "250ms"
+patience = "1500ms"
+[[routes]]
+name = "charge"
+pool = "charges"
+[radius]
+listen = ["{radius}"]
+[radius.clients.partner]
+networks = ["127.0.0.0/8"]
+secrets = ["partner"]
+[[radius.routes]]
+name = "all"
+pool = "records"
+"""
+
+
+async def run(seed: int, span: float, weather: Weather, behaviours: list[Behaviour], records: bool,
+folder: Path) -> dict[str, Any]:
+    """One run: what records and HTTP tasks came to."""
+    servers = [Server(f"r{number}", b"server", how, weather, seed + number)
+               for number, how in enumerate(behaviours)]
+    for server in servers:
+        await server.start()
+    fleet = Fleet({f"s-{number}": Script(work=0.02) for number in range(3)}, seed)
+    listen, radius = free_address(), free_address()
+    balancer = Balancer(folder, operator=operator(listen, radius, servers, fleet), listen=listen,
+                        cores={apart()[0]})
+    try:
+        await asyncio.to_thread(balancer.wait_ready)
+        host, _, port = radius.rpartition(":")
+        load = Load(balancer.address, Asks("charge", HTTP_RATE, "/x", patience=1.5, agreed=0.25), seed,
+                    time.monotonic() + 0.7, span)
+        await asyncio.sleep(0.7)
+        clients = [Client(f"nas{number}", (host, int(port)), b"partner", RATE if records else 0.01,
+                          seed + number, weather, first=0.6) for number in range(CLIENTS)]
+        for client in clients:
+            await client.start()
+        before, memory = balancer.cpu(), [balancer.memory()]
+
+        async def watch() -> None:
+            while True:
+                await asyncio.sleep(span / 8)
+                memory.append(balancer.memory())
+
+        watching = asyncio.create_task(watch())
+        await asyncio.gather(*(client.run(span) for client in clients))
+        watching.cancel()
+        http: Gateway = await asyncio.to_thread(load.result)
+        cpu = balancer.cpu() - before
+        told = [record for client in clients for record in client.told]
+        ran: Counter[str] = Counter()
+        for server in servers:
+            ran.update(server.ran)
+        return {"told": told, "ran": ran, "http": http, "cpu": cpu, "memory": memory,
+                "packets": sum(server.met for server in servers) + sum(record.sent for record in told),
+                "strange": sum(client.strange for client in clients), "log": balancer.log(),
+                "twice_http": fleet.ledger().twice()}
+    finally:
+        await asyncio.to_thread(balancer.stop)
+        await asyncio.to_thread(fleet.stop)
+        for server in servers:
+            server.stop()
+
+
+def share(told: list[Any]) -> float:
+    return sum(bool(one.answers) and one.latency <= AGREED for one in told) / max(1, len(told))
+
+
+def bench() -> int:
+    report = Report("radius", __doc__ or "")
+    given = report.options()
+    span = 5.0 if given.short else 60.0
+    os.sched_setaffinity(0, apart()[1])
+    bad = Weather(lost=0.05, doubled=0.05, late=0.1, by=0.1)
+    well = [Behaviour() for _ in range(4)]
+    ill = [Behaviour(), Behaviour(twice=0.2), Behaviour(late=0.1, late_by=1.2), Behaviour(deaf=True)]
+    with tempfile.TemporaryDirectory() as folder:
+        where = Path(folder)
+        alone = asyncio.run(run(given.seed, span, Weather(), well, False, where / "alone"))
+        calm = asyncio.run(run(given.seed, span, Weather(), well, True, where / "calm"))
+        lossy = asyncio.run(run(given.seed, span, bad, well, True, where / "lossy"))
+        faulty = asyncio.run(run(given.seed, span, bad, ill, True, where / "faulty"))
+    for name, seen in (("calm", calm), ("lossy", lossy), ("faulty", faulty)):
+        told = seen["told"]
+        answered = [one for one in told if one.answers]
+        report.say(f"     {name}: {len(told)} records, {len(answered)} answered, on time {share(told):.4f}, "
+                   f"{sum(one.sent for one in told)} packets of clients, HTTP on time "
+                   f"{seen['http'].share_on_time():.4f} (alone {alone['http'].share_on_time():.4f})")
+        report.bound(f"{name}: records that ran twice", sum(n > 1 for n in seen["ran"].values()), most=0)
+        report.bound(f"{name}: records with two contents of answers",
+                     sum(len(set(one.answers)) > 1 for one in told), most=0)
+        report.bound(f"{name}: answered and never ran",
+                     sum(not seen["ran"][one.record] for one in answered), most=0)
+        report.bound(f"{name}: HTTP tasks unanswered, or run twice",
+                     len(seen["http"].unanswered()) + len(seen["twice_http"]), most=0)
+        report.bound(f"{name}: points that HTTP lost on time beside HTTP alone",
+                     100 * (alone["http"].share_on_time() - seen["http"].share_on_time()), most=2)
+        report.bound(f"{name}: lines that say a rule or the program is broken",
+                     seen["log"].count("event=broken") + seen["log"].count("level=error"), most=0)
+    report.bound("lossy: answered", sum(bool(one.answers) for one in lossy["told"]) / len(lossy["told"]),
+                 least=0.99)
+    packets = calm["packets"]
+    report.figure("on_time_calm", share(calm["told"]))
+    report.figure("on_time_lossy", share(lossy["told"]))
+    report.figure("on_time_faulty", share(faulty["told"]))
+    report.figure("cpu_ms_a_packet", 1000 * max(0.0, calm["cpu"] - alone["cpu"]) / max(1, packets))
+    grown = (max(faulty["memory"][-2:]) - max(faulty["memory"][2:4])) / 2**20
+    report.bound("faulty: MB that memory grew in its second half", grown, most=4.0)
+    return report.close()
+
+
+if __name__ == "__main__":
+    main(bench)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -157,3 +157,9 @@
     assert "whinpier.runtime.life" in found and not {"msgspec", "click", "rich", "tomllib"} & set(found)
     assert not any(name.startswith(tuple(f"whinpier.{part}" for part in ours)) for name in found)
     assert not read_platform({"BALANCER_CONFIG": "example/config.json"}).routed
+
+
+@pytest.mark.parametrize("file", sorted(Path("deploy").glob("operator*.toml")), ids=str)
+def test_example_files_are_good(file):
+    spec = operator.read(str(file))
+    assert spec.pools and (spec.table.routes or spec.radius.routes)
