--- a/benchmarks/pools.py
+++ b/benchmarks/pools.py
@@ -172,6 +172,9 @@
     """Every task one answer, no exclusive task twice, all within the file's limits."""
     gateways = [*seen.gateways.values(), seen.lost]
     report.bound("tasks sent without a final answer", sum(len(g.unanswered()) for g in gateways), most=0)
+    for gateway in gateways:
+        for task in gateway.unanswered()[:5]:
+            report.say(f"     {task.id} at {task.due - seen.start:.3f} s, try {task.tries}: {task.how}")
     report.bound("tasks answered twice, answers nobody asked for",
                  sum(len(g.answered_twice()) + g.surplus for g in gateways), most=0)
     report.bound("exclusive tasks that ran twice", len(seen.ledgers["posting"].twice()), most=0)
--- a/whinpier/standin/ledger.py
+++ b/whinpier/standin/ledger.py
@@ -45,6 +45,7 @@
     retry_after: float | None = None
     body: int = 0  # bytes
     tries: int = 0  # of its client before this one
+    how: str = ""  # why there was no answer
 
     def on_time(self, agreed: float) -> bool:
         return self.status == 200 and self.latency <= agreed
