--- a/whinpier/__main__.py
+++ b/whinpier/__main__.py
@@ -13,7 +13,7 @@
 
 # From below upwards: imports that nest leave 0.7 MB more behind than those that do not (measured, of 27).
 from whinpier import log
-from whinpier.spec import ConfigFault, Spec
+from whinpier.spec import Address, ConfigFault, Spec
 from whinpier.choice import Choice  # noqa: F401
 from whinpier.runtime.life import Life
 from whinpier.config.platform import changes, read
@@ -26,6 +26,21 @@
     await life.serve(listeners)
 
 
+def bound(kind: socket.SocketKind, address: Address) -> socket.socket:
+    """A socket at an address, listening if it is for streams. Raises OSError if it can't be had."""
+    sock = socket.socket(socket.AF_INET, kind | socket.SOCK_NONBLOCK)
+    try:
+        if kind == socket.SOCK_STREAM:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        if kind == socket.SOCK_STREAM:
+            sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def start(reread: Callable[[], Spec], changed: Callable[[Spec, Spec], Iterable[str]]) -> int:
     """0 after an ordered end, 1 where an address can't be had, 2 for a faulty configuration."""
     log.set_up()
@@ -36,30 +51,26 @@
     except ConfigFault as fault:
         log.warn("configuration_fault", fault=fault)
         return 2
-    listeners: list[socket.socket] = []
+    streams: list[socket.socket] = []
+    datagrams: list[socket.socket] = []
     try:
-        for address in spec.listen:
-            listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-            listeners.append(listener)
+        asked = [(streams, socket.SOCK_STREAM, address) for address in spec.listen]
+        if spec.radius:
+            asked += [(datagrams, socket.SOCK_DGRAM, address) for address in spec.radius.listen]
+        for sockets, kind, address in asked:
             try:
-                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                listener.bind(address)
-                listener.listen(BACKLOG)
+                sockets.append(bound(kind, address))
             except OSError as fault:
                 log.warn("cannot_listen", address="%s:%d" % address, fault=fault)
                 return 1
         wire = Http1()
         if spec.radius:
-            from whinpier.radius.wire import Taken, WithRadius, bound  # only where a file has it
-            try:
-                wire = WithRadius(bound(spec.radius))
-            except Taken as fault:
-                log.warn("cannot_listen", address="%s:%d" % fault.address, fault=fault)
-                return 1
-        anyio.run(run, listeners, Life(spec, wire, reread, changed))
+            from whinpier.radius.wire import WithRadius  # only where a file has it
+            wire = WithRadius(datagrams)
+        anyio.run(run, streams, Life(spec, wire, reread, changed))
     finally:
-        for listener in listeners:
-            listener.close()
+        for sock in (*streams, *datagrams):
+            sock.close()
     return 0
 
 
--- a/whinpier/config/operator.py
+++ b/whinpier/config/operator.py
@@ -24,7 +24,8 @@
 from whinpier.decay import SECOND
 from whinpier.routing.table import Route, RouteFault, Table
 from whinpier.runtime.budget import DOOR, MOST_DOOR, spare
-from whinpier.spec import ConfigFault, Entry, Fields, Limits, PoolSpec, Spec, address, differs
+from whinpier.spec import (KEPT_TILL_RESTART, ConfigFault, Entry, Fields, Limits, PoolSpec, Spec, address,
+                           differs)
 
 if TYPE_CHECKING:
     from whinpier.radius.spec import RadiusSpec, ServerSpec
@@ -36,7 +37,6 @@
 DURATION = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,9})?)(us|ms|s|m|h)\Z")
 UNITS = {"us": 1_000, "ms": 1_000_000, "s": SECOND, "m": 60 * SECOND, "h": 3600 * SECOND}
 TOKEN = re.compile(r"[-!#$%&'*+.^_`|~0-9a-z]+\Z")  # a header's name, in lower case
-KEPT_TILL_RESTART = ("name", "listen", "seed", "sockets", "memory", "isolate")
 
 Whole = Annotated[int, Meta(ge=0, le=2**40)]
 Count = Annotated[int, Meta(ge=1, le=2**31)]
--- a/whinpier/lab/balancers.py
+++ b/whinpier/lab/balancers.py
@@ -41,19 +41,9 @@
     def at(self, at: int, host: Any, call: Callable[..., None], *args: Any) -> None:
         self.sim.at(at, self.enter, host, call, *args)
 
-    def enter(self, host: Any, call: Callable[..., None], *args: Any) -> None:
-        """As the real one, but that a fault ends the run: here it is to be found."""
-        self.todo.append((host, call, args))
-        if self.inside:
-            return
-        self.inside = True
-        try:
-            while self.todo:
-                host, call, args = self.todo.popleft()
-                host.now = self.clock()
-                call(*args)
-        finally:
-            self.inside = False
+    def faulty(self, call: Callable[..., None]) -> None:
+        """A fault ends the run: here it is to be found."""
+        raise
 
     def margin(self) -> int:
         return 0
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -75,6 +75,7 @@
         self.door, self.loop, self.sock = door, door.loop, sock
         self.parser = h11.Connection(h11.SERVER)
         self.method, self.target, self.headers = b"", b"", list[tuple[bytes, bytes]]()
+        self.fields: dict[bytes, bytes] = {}  # the headers by name
         self.parts: list[bytes] = []
         self.size, self.spilt = 0, 0  # bytes of its body; of what came behind its last answer
         self.since = door.loop.clock()  # since when it is here, is idle, is read, is answered for good
@@ -130,10 +131,10 @@
 
     def find_way(self) -> None:
         """Where it goes, by its head alone: what goes nowhere is refused before its body has come."""
-        self.to, self.lost = None, None
+        self.to, self.lost, self.fields = None, None, dict(self.headers)
         if self.target != self.door.up:
             try:
-                self.to = self.door.router.route(self.method, self.target, self.headers)
+                self.to = self.door.router.route(self.method, self.target, self.fields, self.headers)
                 if (part := self.to[0].pool.part) is not self.member:
                     self.join(part)
             except BadRequest as bad:
@@ -221,7 +222,7 @@
 
     def read_task(self, target: Target, workload: Workload) -> Asked:
         """The task that a request stands for, with all that its headers say of it."""
-        headers, door, fields = dict(self.headers), self.door, target.fields
+        headers, door, fields = self.fields, self.door, target.fields
         if len(headers) < len(self.headers):
             names = [name for name, _ in self.headers]
             if any(names.count(name) > 1 for name in fields.once):
@@ -241,11 +242,8 @@
             if given is None or not NUMBER.fullmatch(given):
                 raise BadRequest(400, f"no {fields.remaining.decode().title()} that can be read")
             patience = min(int(float(given) * SECOND), patience)
-        came, margin = self.loop.clock(), self.loop.margin()
-        ends = came + patience - margin
-        if door.stop_by:
-            ends = min(ends, door.stop_by - margin)
-        task = Asked(self, workload, came, ends, txn)
+        came = self.loop.clock()
+        task = Asked(self, workload, came, door.life.ends(came, patience), txn)
         query = self.target.partition(b"?")[2]
         key = parse_qs(query).get(fields.query_key, [b""])[0] if query else b""
         key = key or headers.get(fields.key, b"")
@@ -346,5 +344,5 @@
         self.hang_up()
         if task := self.task:
             self.task = None
-            self.door.left(self, task)
+            task.pool.client_left(task)
         self.door.roomier()
--- a/whinpier/net/door.py
+++ b/whinpier/net/door.py
@@ -13,13 +13,12 @@
 
 from whinpier import log
 from whinpier.decay import SECOND
-from whinpier.net.clients import Asked, Client
+from whinpier.net.clients import Client
 from whinpier.net.routes import Router
 from whinpier.runtime.budget import Part
-from whinpier.runtime.life import Life
+from whinpier.runtime.life import SWEEP, Life
 from whinpier.runtime.pool import Pool
 
-SWEEP = SECOND // 4  # between looks at what waits too long: what is owed within 3 s is given after 2
 AT_ONCE = 32  # clients taken in before others have their turn: some 3 ms
 UNUSED = SECOND // 10  # a connection idle for less may be about to be used again
 SILENT = SECOND // 20  # who has come asks at once: the way from a client, many times over
@@ -36,11 +35,6 @@
         self.space = anyio.Event()
         self.budget.let_go = self.let_go
         self.roomier = self.budget.roomier = self.make_known
-        self.random = life.random
-
-    @property
-    def stop_by(self) -> int:
-        return self.life.stop_by
 
     @property
     def closing(self) -> bool:
@@ -55,17 +49,11 @@
 
     def no_room(self, pool: Pool) -> bool:
         """Whether a task is turned back at the door; if not it counts among its pool's from now on."""
-        if self.life.closing or pool.leaving or pool.part.shed and self.random() < pool.part.shed:
-            return True
         budget = self.budget
         usual = budget.connections - budget.most_clients
         if len(self.clients) > budget.most_clients and budget.tasks.used >= usual:
             return True
-        return not pool.part.tasks.take()
-
-    def left(self, client: Client, task: Asked) -> None:
-        assert client.to
-        client.to[0].pool.client_left(task)
+        return self.life.no_room(pool)
 
     def gone(self, client: Client) -> None:
         if client in self.clients:
@@ -149,7 +137,6 @@
     def sweep(self) -> None:
         """Every wait has an end."""
         now = self.loop.clock()
-        self.loop.at(now + SWEEP, self.loop, self.sweep)
         for client in list(self.clients):
             client.sweep(now)
         longest = self.longest_idle(now - SWEEP)
--- a/whinpier/net/routed.py
+++ b/whinpier/net/routed.py
@@ -23,16 +23,21 @@
 
     def __init__(self, table: Table, pools: Mapping[str, Pool]) -> None:
         self.table, self.targets = table, dict[str, Target]()
+        # What routes look at; no other header is decoded for them.
+        looked_at = {"host", "x-lane", *(name for route in table.routes for name in route.headers)}
+        self.looked_at = [(name.encode(), name) for name in sorted(looked_at)]
         for route in table.routes:
             to, pool = route.to, pools[route.to.pool]
             self.targets[route.name] = Target(pool, pool.workloads.get(to.workload.encode()), to.fields,
                                               to.patience, bool(route.methods), route.name)
 
-    def route(self, method: bytes, target: bytes, headers: Headers) -> tuple[Target, Workload]:
+    def route(self, method: bytes, target: bytes, fields: dict[bytes, bytes],
+              headers: Headers) -> tuple[Target, Workload]:
         if method not in METHODS:
             raise BadRequest(405, f"{method!r} is no method of a task")
-        found = {name.decode("ascii"): value.decode("latin-1") for name, value in headers}
-        if len(found) < len(headers) and [name for name, _ in headers].count(b"host") > 1:
+        found = {name: fields[key].decode("latin-1") for key, name in self.looked_at if key in fields}
+        names = [name for name, _ in headers] if len(fields) < len(headers) else []
+        if names.count(b"host") > 1:
             raise BadRequest(400, "a Host twice")
         try:
             host, path = found.get("host", ""), target.partition(b"?")[0].decode("ascii")
@@ -49,11 +54,9 @@
                 allow = ", ".join(sorted(route.methods)).encode()
                 raise BadRequest(405, "no route takes this method", [(b"allow", allow)], last=False)
             raise BadRequest(404, f"no route: {route.reason} not known", last=False)
-        if len(found) < len(headers):
-            names = [name for name, _ in headers]
-            for name in route.headers:
-                if names.count(name.encode()) > 1:
-                    raise BadRequest(400, f"{name}, which its route looks at, came twice")
+        for name in route.headers:
+            if names.count(name.encode()) > 1:
+                raise BadRequest(400, f"{name}, which its route looks at, came twice")
         to = self.targets[route.name]
         workload = to.workload
         if workload is None:
--- a/whinpier/net/routes.py
+++ b/whinpier/net/routes.py
@@ -38,8 +38,9 @@
 class Router(Protocol):
     """Says where a request goes."""
 
-    def route(self, method: bytes, target: bytes, headers: Headers) -> tuple[Target, Workload]:
-        """Raises BadRequest for what goes nowhere."""
+    def route(self, method: bytes, target: bytes, fields: dict[bytes, bytes],
+              headers: Headers) -> tuple[Target, Workload]:
+        """Raises BadRequest for what goes nowhere. `fields` are the headers by name, the last of each."""
 
 
 class Lanes:
@@ -49,11 +50,12 @@
         self.target = Target(pool, None, Fields())
         self.workloads = pool.workloads
 
-    def route(self, method: bytes, target: bytes, headers: Headers) -> tuple[Target, Workload]:
+    def route(self, method: bytes, target: bytes, fields: dict[bytes, bytes],
+              headers: Headers) -> tuple[Target, Workload]:
         path = target.partition(b"?")[0]
         lane = path.lstrip(b"/").partition(b"/")[0]
         workload = self.workloads.get(lane)
-        if workload is None or dict(headers).get(b"x-lane", lane) != lane:
+        if workload is None or fields.get(b"x-lane", lane) != lane:
             raise BadRequest(404, f"no such lane: {lane!r}")
         return self.target, workload
 
--- a/whinpier/net/wire.py
+++ b/whinpier/net/wire.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
-
 from whinpier.net.discovery import Discovery
 from whinpier.net.door import Door
 from whinpier.net.routes import Lanes, Router
@@ -35,9 +33,7 @@
     def peer(self, pool: Pool, entry: Entry, number: int) -> Peer:
         return Server(pool, entry.host, number, entry.state, entry.started, entry.dial)
 
-    def watch(self, pool: Pool, spawn: Callable[[Callable[[], Awaitable[None]]], None]) -> Watch:
+    def watch(self, pool: Pool) -> Watch:
         assert pool.spec.discovery
         chance = pool.choice.split.random
-        discovery = Discovery(pool.spec.discovery, pool.spec.seq, pool.told, chance, pool.tag)
-        spawn(discovery.run)
-        return discovery
+        return Discovery(pool.spec.discovery, pool.spec.seq, pool.told, chance, pool.tag)
--- a/whinpier/radius/front.py
+++ b/whinpier/radius/front.py
@@ -24,7 +24,6 @@
 
 if TYPE_CHECKING:
     from whinpier.runtime.life import Life
-    from whinpier.runtime.pool import Pool
 
 STRANGERS = 200  # packets a second from unknown addresses that are counted one by one
 
@@ -70,7 +69,6 @@
         self.life, self.loop, self.spec, self.sockets = life, life.loop, spec, sockets
         self.memory: keys.Memory[Asked] = keys.Memory(spec.kept, spec.most)
         self.second, self.seen = 0, dict[str, int]()  # packets of each client in this second
-        self.stopped = False
 
     def follow(self, spec: RadiusSpec) -> None:
         """Go on by another configuration: secrets, clients, routes; what is out and remembered stays."""
@@ -175,14 +173,12 @@
             self.memory.given_up(key)
             return
         workload = pool.workloads[route.workload.encode()]
-        if self.life.closing or pool.leaving or self.shed(pool) or not pool.part.tasks.take():
+        if self.life.no_room(pool):
             log.counts["turned_back_at_the_door"] += 1
             self.memory.given_up(key)
             return
         now = self.loop.clock()
-        ends = now + workload.patience - self.loop.margin()
-        if self.life.stop_by:
-            ends = min(ends, self.life.stop_by - self.loop.margin())
+        ends = self.life.ends(now, workload.patience)
         task = Asked(self.loop.next_id(), workload, now, ends, self, packet, key, client, secret, source,
                      sock)
         session = packet.first(wire.SESSION_ID) or b""
@@ -190,9 +186,6 @@
         self.memory.entries[key].task = task
         pool.take(task)
 
-    def shed(self, pool: Pool) -> bool:
-        return bool(pool.part.shed) and self.life.random() < pool.part.shed
-
     # The one final answer.
 
     def reply(self, task: Asked, answer: Packet) -> None:
@@ -221,7 +214,6 @@
     # As a front of the process.
 
     def sweep(self) -> None:
-        self.loop.at(self.loop.clock() + SECOND, self.loop, self.sweep)
         self.memory.forget(self.loop.clock())
 
     def anyone(self) -> bool:
--- a/whinpier/radius/wire.py
+++ b/whinpier/radius/wire.py
@@ -7,10 +7,10 @@
 from whinpier.net.wire import Http1
 from whinpier.radius.back import Server
 from whinpier.radius.front import Front as RadiusFront
-from whinpier.radius.spec import RadiusSpec, ServerSpec
+from whinpier.radius.spec import ServerSpec
 from whinpier.runtime.life import Front, Life
 from whinpier.runtime.pool import Peer, Pool
-from whinpier.spec import Address, Entry
+from whinpier.spec import Entry
 
 
 class WithRadius(Http1):
@@ -36,26 +36,3 @@
             return super().peer(pool, entry, number)
         assert isinstance(pool.spec.server, ServerSpec)
         return Server(pool, entry, number, pool.spec.server)
-
-
-def bound(spec: RadiusSpec) -> list[socket.socket]:
-    """Its sockets. Raises OSError, with the address as its last argument, where one can't be had."""
-    found: list[socket.socket] = []
-    for address in spec.listen:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
-        found.append(sock)
-        try:
-            sock.bind(address)
-        except OSError as fault:
-            for one in found:
-                one.close()
-            raise Taken(address, fault) from None
-    return found
-
-
-class Taken(Exception):
-    """An address that can't be had."""
-
-    def __init__(self, address: Address, fault: OSError) -> None:
-        super().__init__(str(fault))
-        self.address = address
--- a/whinpier/runtime/budget.py
+++ b/whinpier/runtime/budget.py
@@ -38,8 +38,9 @@
 
     __slots__ = ("stock", "guaranteed", "most", "used")
 
-    def __init__(self, stock: Stock, guaranteed: int, most: int | None) -> None:
-        self.stock, self.guaranteed, self.most, self.used = stock, guaranteed, most, 0
+    def __init__(self, stock: Stock) -> None:
+        self.stock, self.guaranteed, self.used = stock, 0, 0
+        self.most: int | None = None
 
     def kept(self) -> int:
         """What may not be lent of it."""
@@ -68,6 +69,18 @@
         self.stock.used -= amount
         self.stock.kept += self.kept() - kept
 
+    def reshare(self, share: float, most: int | None) -> None:
+        """Another part for a pool that goes on; what it has above that is borrowed from now on."""
+        self.stock.kept -= self.kept()
+        self.guaranteed, self.most = int(share * self.stock.capacity), most
+        self.stock.kept += self.kept()
+
+    def drop(self) -> None:
+        """Its pool has gone; what it still holds is given back one by one."""
+        self.reshare(0.0, self.most)
+        if not self.used and self in self.stock.held:
+            self.stock.held.remove(self)
+
 
 class Stock:
     """One resource of the process, in whatever unit it is counted."""
@@ -76,35 +89,21 @@
         self.capacity, self.used, self.kept = capacity, 0, 0
         self.held: list[Held] = []
 
-    def part(self, share: float, most: int | None) -> Held:
-        held = Held(self, int(share * self.capacity), most)
-        self.held.append(held)
-        self.kept += held.kept()
-        return held
-
-    def reshare(self, held: Held, share: float, most: int | None) -> None:
-        """Another part for a pool that goes on; what it has above that is borrowed from now on."""
-        self.kept -= held.kept()
-        held.guaranteed, held.most = int(share * self.capacity), most
-        self.kept += held.kept()
-
-    def drop(self, held: Held) -> None:
-        """A pool that has gone; what it still holds is given back one by one."""
-        self.reshare(held, 0.0, held.most)
-        if not held.used and held in self.held:
-            self.held.remove(held)
+    def part(self) -> Held:
+        """A part of nothing, for a pool that has just come."""
+        self.held.append(Held(self))
+        return self.held[-1]
 
 
 class Part:
     """What one pool has of the process."""
 
     def __init__(self, budget: Budget, limits: Limits) -> None:
-        self.budget, self.limits = budget, limits
-        share = limits.guaranteed if budget.isolate else 0.0
-        self.tasks = budget.tasks.part(share, limits.tasks)
-        self.links = budget.links.part(share, limits.connections)
-        self.bodies = budget.bodies.part(share, limits.bodies)  # bytes of answers
-        self.requests = budget.requests.part(share, limits.bodies)  # bytes of what is asked
+        self.budget = budget
+        self.tasks, self.links = budget.tasks.part(), budget.links.part()
+        self.bodies = budget.bodies.part()  # bytes of answers
+        self.requests = budget.requests.part()  # bytes of what is asked
+        self.change(limits)
         self.clients = 0  # connections of clients that asked it last
         self.shed = 0.0  # the part of its tasks that is turned back at the door
         self.spent = Sum(SPENT, 0)  # nanoseconds of the loop
@@ -112,15 +111,13 @@
 
     def change(self, limits: Limits) -> None:
         self.limits, share = limits, limits.guaranteed if self.budget.isolate else 0.0
-        self.budget.tasks.reshare(self.tasks, share, limits.tasks)
-        self.budget.links.reshare(self.links, share, limits.connections)
-        self.budget.bodies.reshare(self.bodies, share, limits.bodies)
-        self.budget.requests.reshare(self.requests, share, limits.bodies)
+        for held, most in ((self.tasks, limits.tasks), (self.links, limits.connections),
+                           (self.bodies, limits.bodies), (self.requests, limits.bodies)):
+            held.reshare(share, most)
 
     def end(self) -> None:
-        for stock, held in ((self.budget.tasks, self.tasks), (self.budget.links, self.links),
-                            (self.budget.bodies, self.bodies), (self.budget.requests, self.requests)):
-            stock.drop(held)
+        for held in (self.tasks, self.links, self.bodies, self.requests):
+            held.drop()
         if self in self.budget.parts:
             self.budget.parts.remove(self)
 
--- a/whinpier/runtime/life.py
+++ b/whinpier/runtime/life.py
@@ -10,7 +10,7 @@
 import socket
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from random import Random
 from typing import Any, Protocol
@@ -23,14 +23,14 @@
 from whinpier.runtime.budget import Budget, Part, spare
 from whinpier.runtime.loop import MS, Loop
 from whinpier.runtime.pool import Peer, Pool, Taken, Watch
-from whinpier.spec import Address, ConfigFault, Entry, PoolSpec, Spec, differs
+from whinpier.spec import KEPT_TILL_RESTART, Address, ConfigFault, Entry, PoolSpec, Spec, differs
 
 STILL_COMING = 6 * SECOND // 10  # after SIGTERM new connections go on coming for up to 0.4 s
 # After SIGTERM nothing ends the process sooner than the longest patience and 0.7 s more. The last tenth of
 # that is for a late loop, and what comes before it for answering what is out, with no more taken.
 LONGEST = 3 * SECOND  # of a patience, as it counts for that
 AFTERWARDS, CLOSING = 6 * SECOND // 10, 4 * SECOND // 10
-SWEEP = SECOND // 4
+SWEEP = SECOND // 4  # between looks at what waits too long: what is owed within 3 s is given after 2
 FIGURES = 10 * SECOND  # between lines of figures
 
 
@@ -60,7 +60,7 @@
 
     def peer(self, pool: Pool, entry: Entry, number: int) -> Peer: ...
 
-    def watch(self, pool: Pool, spawn: Callable[[Callable[[], Awaitable[None]]], None]) -> Watch: ...
+    def watch(self, pool: Pool) -> Watch: ...
 
 
 class Life:
@@ -73,8 +73,6 @@
         self.loop = Loop(self.budget.judge)
         self.ids: dict[bytes | int, Taken] = {}  # of tasks till the end of their patience, answered or not
         self.cold: dict[tuple[Address, int], Sum] = {}  # what goes to an upstream from all pools, by its run
-        self.watches: list[Callable[[], Awaitable[None]]] = []  # to be started with the loop
-        self.running = False
         self.stopping, self.closing, self.stop_by = False, False, 0
         self.stopped, self.collect_from = 0, 0
         self.chance = Random(spec.seed)
@@ -99,13 +97,7 @@
         return self.wire.peer(pool, entry, number)
 
     def watch(self, pool: Pool) -> Watch | None:
-        return self.wire.watch(pool, self.start_watch) if pool.spec.discovery else None
-
-    def start_watch(self, run: Callable[[], Awaitable[None]]) -> None:
-        if self.running:
-            self.loop.spawn(run, lambda: None)
-        else:
-            self.watches.append(run)
+        return self.wire.watch(pool) if pool.spec.discovery else None
 
     def shared(self, entry: Entry) -> Sum | None:
         """What is sent to one run of an upstream, counted over all pools that list its address."""
@@ -130,6 +122,19 @@
         """Whether the front may send clients."""
         return not self.stopping and any(pool.ready() for pool in self.pools.values())
 
+    # What fronts ask for.
+
+    def no_room(self, pool: Pool) -> bool:
+        """Whether a pool takes no task at the door; if it does the task counts among its own from now on."""
+        shed = pool.part.shed
+        turned_back = self.closing or pool.leaving or bool(shed and self.random() < shed)
+        return turned_back or not pool.part.tasks.take()
+
+    def ends(self, came: int, patience: int) -> int:
+        """When a task is over here: its client must have the answer, and the process must still be there."""
+        margin = self.loop.margin()
+        return min(came + patience, self.stop_by or came + patience) - margin
+
     # A new configuration.
 
     def configure(self) -> None:
@@ -166,8 +171,7 @@
         radius = new.radius
         if (radius is None) != (old.radius is None):
             radius = old.radius
-        return replace(new, radius=radius, name=old.name, listen=old.listen, seed=old.seed,
-                       sockets=old.sockets, memory=old.memory, isolate=old.isolate)
+        return replace(new, radius=radius, **{key: getattr(old, key) for key in KEPT_TILL_RESTART})
 
     def apply(self, new: Spec) -> None:
         """Pools and routes as the new file has them, in one step between two events of the loop."""
@@ -195,6 +199,8 @@
         self.loop.at(self.loop.clock() + SWEEP, self.loop, self.sweep)
         for pool in (*self.pools.values(), *self.going):
             pool.sweep()
+        for front in self.fronts:
+            front.sweep()
 
     def collecting(self, phase: str, _: dict[str, int]) -> None:
         """Note how long a garbage collection stops the loop."""
@@ -270,17 +276,12 @@
         """Run until told to stop."""
         loop = self.loop
         async with anyio.create_task_group() as loop.tasks:
-            self.running = True
             loop.spawn(self.heed, loop.tasks.cancel_scope.cancel)
-            for run in self.watches:
-                loop.spawn(run, lambda: None)
-            self.watches.clear()
             for pool in self.pools.values():
                 pool.start()
             loop.at(loop.clock() + SWEEP, loop, self.sweep)
             for front in self.fronts:
                 front.start(listeners if front is self.fronts[0] else [])
-                loop.at(loop.clock() + SWEEP, loop, front.sweep)
             loop.at(loop.clock() + FIGURES, loop, self.figures)
             # What is there by now stays: collecting it over and over would only stop the loop.
             gc.callbacks.append(self.collecting)
--- a/whinpier/runtime/loop.py
+++ b/whinpier/runtime/loop.py
@@ -61,11 +61,15 @@
                 host.now = self.clock()
                 try:
                     call(*args)
-                except Exception:  # one fault must not end the process: the task's end answers it
-                    log.fault("decision_fault", call=getattr(call, "__name__", call))
+                except Exception:
+                    self.faulty(call)
         finally:
             self.inside = False
 
+    def faulty(self, call: Callable[..., None]) -> None:
+        """A call has raised. One fault must not end the process: the task's end answers it."""
+        log.fault("decision_fault", call=getattr(call, "__name__", call))
+
     def at(self, at: int, host: Timed, call: Callable[..., None], *args: Any) -> None:
         """Have something of a host called at a time."""
         heapq.heappush(self.alarms, (at, self.next_alarm(), host, call, args))
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -99,6 +99,8 @@
 class Watch(Protocol):
     """Whatever tells a pool its list."""
 
+    async def run(self) -> None: ...
+
     def follow(self, on: bool) -> None: ...
 
     def fetch(self) -> None: ...
@@ -157,6 +159,7 @@
         if self.spec.known:
             self.told(self.spec.known, True, cached=self.source is not None)
         if self.source:
+            self.loop.spawn(self.source.run, lambda: None)
             self.source.follow(self.spec.settings.get("discovery") != "subscribe")
 
     def change(self, spec: PoolSpec) -> None:
@@ -401,7 +404,7 @@
         self.ended = True
         if self.source:
             self.source.end()
-        for peer in self.held.values():
+        for peer in self.peers():
             peer.state = GONE
             peer.retire()
         self.part.end()
--- a/whinpier/spec.py
+++ b/whinpier/spec.py
@@ -18,6 +18,7 @@
 LATEST = 2**53  # milliseconds: what JSON numbers hold exactly; later times would only upset arithmetic
 CONFIGURED = ("name", "kind", "agreed_time", "patience", "payoff", "late_payoff", "group", "window",
               "streamed", "stretch")  # of a workload
+KEPT_TILL_RESTART = ("name", "listen", "seed", "sockets", "memory", "isolate")  # of a process
 PLATFORM = "all"  # the one pool of a process without an operator's file
 
 
