Configuration: one reader of files, each table converted once, names checked by their types

Need: a second reading of the change. The platform's file, the operator's and secrets were each opened by code of their own, the last without the guard against files that keep their reader waiting, and with a check of rights on another descriptor than the one read; each pool's table was converted three times; names of troubles and policies were checked beside their types. Change: platform.contents serves all three; tables are converted once; Literal types say which names there are. A secret's file of more than 4,096 bytes is refused, where it was cut; an unknown policy.mutation is refused, where it ended in a trace.

--- a/whinpier/config/operator.py
+++ b/whinpier/config/operator.py
@@ -7,9 +7,7 @@
 from __future__ import annotations
 
 import difflib
-import os
 import re
-import stat
 import tomllib
 from collections.abc import Callable, Iterable
 from dataclasses import fields as fields_of
@@ -21,6 +19,7 @@
 from msgspec import Meta, Struct
 
 from whinpier import model
+from whinpier.config.platform import contents
 from whinpier.decay import SECOND
 from whinpier.routing.table import Route, RouteFault, Table
 from whinpier.runtime.budget import DOOR, MOST_DOOR, spare
@@ -30,7 +29,7 @@
 if TYPE_CHECKING:
     from whinpier.radius.spec import RadiusSpec, ServerSpec
 
-LARGEST = 8 * 1024 * 1024  # of the file: ten thousand routes are a tenth of it
+SECRET = 4096  # bytes of a secret with what stands round it
 MOST_POOLS, MOST_ROUTES = 256, 20_000  # what is still checked within a second or two
 LEAST = 16  # connections for each pool: with fewer nothing can be held apart
 NAME = re.compile(r"[a-z0-9][a-z0-9_-]{0,62}\Z")
@@ -318,10 +317,9 @@
     return list(found.values())
 
 
-def pool(name: str, value: Any, guaranteed: float) -> PoolSpec:
+def pool(name: str, table: PoolTable, guaranteed: float) -> PoolSpec:
     """What one pool runs by."""
-    at = f"pools.{named(name, 'pools')}"
-    table = part(value, PoolTable, at)
+    at = f"pools.{name}"
     if (table.upstreams is None) == (table.discovery is None):
         raise ConfigFault(f"{at}: either upstreams or discovery says where its list comes from")
     if not table.workloads:
@@ -375,15 +373,11 @@
 def kept_secret(path: str, at: str) -> bytes:
     """A secret from a file that only its owner may read."""
     try:
-        mode = os.stat(path).st_mode
-        if not stat.S_ISREG(mode):
-            raise ConfigFault(f"{at}: {path} is no plain file")
-        if mode & 0o077:
-            raise ConfigFault(f"{at}: {path} may be read by others (mode {stat.S_IMODE(mode):o}, not 600)")
-        with open(path, "rb") as file:
-            secret = file.read(4096).strip()
+        secret = contents(path, SECRET, private=True).strip()
     except OSError as fault:
         raise ConfigFault(f"{at}: {fault}") from None
+    except ValueError as fault:
+        raise ConfigFault(f"{at}: {path} {fault}") from None
     if not secret:
         raise ConfigFault(f"{at}: {path} is empty")
     return secret
@@ -482,14 +476,9 @@
                  To(table.pool, name, patience, fields))
 
 
-def parts(given: dict[str, Any]) -> dict[str, float]:
+def parts(tables: dict[str, PoolTable]) -> dict[str, float]:
     """The guaranteed part of each pool: what is said, or an even share of what the others leave."""
-    found: dict[str, float | None] = {}
-    for name, value in given.items():
-        limits = value.get("limits") if isinstance(value, dict) else None
-        found[name] = None
-        if limits is not None:
-            found[name] = part(limits, LimitsTable, f"pools.{name}.limits").guaranteed
+    found = {name: table.limits.guaranteed for name, table in tables.items()}
     said = [share for share in found.values() if share is not None]
     rest = 1.0 - sum(said)
     if rest < -1e-9:
@@ -516,10 +505,11 @@
         seed = int(table.process.seed, 16) if table.process.seed else SystemRandom().getrandbits(64)
     except ValueError:
         raise ConfigFault(f"process.seed: {table.process.seed!r} is not a hexadecimal number") from None
-    shares = parts(table.pools)
-    pools = {name: pool(name, value, shares[name]) for name, value in table.pools.items()}
-    usual = {name: says(part(value, PoolTable, f"pools.{name}").says, f"pools.{name}.says")
-             for name, value in table.pools.items()}
+    tables = {named(name, "pools"): part(value, PoolTable, f"pools.{name}")
+              for name, value in table.pools.items()}
+    shares = parts(tables)
+    pools = {name: pool(name, one, shares[name]) for name, one in tables.items()}
+    usual = {name: says(one.says, f"pools.{name}.says") for name, one in tables.items()}
     routes = [route(value, f"routes[{index}]", pools, usual) for index, value in enumerate(table.routes)]
     try:
         compiled = Table(routes)
@@ -544,22 +534,10 @@
                           f"which need {need}")
 
 
-def load(path: str) -> Any:
-    """What the file holds. Guards against one that never ends, or keeps whoever opens it waiting."""
-    file = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
-    with open(file, "rb") as opened:
-        if not stat.S_ISREG(os.fstat(file).st_mode):
-            raise ValueError("is no plain file")
-        text = opened.read(LARGEST + 1)
-    if len(text) > LARGEST:
-        raise ValueError(f"is larger than {LARGEST} bytes")
-    return tomllib.loads(text.decode("utf-8"))
-
-
 def read(path: str) -> Spec:
     """What an operator's file says; a ConfigFault names the file and the key."""
     try:
-        return made(load(path))
+        return made(tomllib.loads(contents(path).decode("utf-8")))
     except ConfigFault as fault:
         raise ConfigFault(f"{path}: {fault}") from None
     except (OSError, ValueError, RecursionError) as fault:
--- a/whinpier/config/platform.py
+++ b/whinpier/config/platform.py
@@ -76,16 +76,23 @@
         raise ConfigFault(f"settings: {fault}") from None
 
 
-def load(path: str) -> Any:
-    """What the file holds. Guards against one that never ends, or keeps whoever opens it waiting."""
+def contents(path: str, largest: int = LARGEST, private: bool = False) -> bytes:
+    """What a file holds. Guards against one that never ends, or keeps whoever opens it waiting.
+
+    Raises OSError, and ValueError for one that is none, is larger, or, if it is to be `private`, may be read
+    by others than its owner.
+    """
     file = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
     with open(file, "rb") as opened:
-        if not stat.S_ISREG(os.fstat(file).st_mode):
+        mode = os.fstat(file).st_mode
+        if not stat.S_ISREG(mode):
             raise ValueError("is no plain file")
-        text = opened.read(LARGEST + 1)
-    if len(text) > LARGEST:
-        raise ValueError(f"is larger than {LARGEST} bytes")
-    return json.loads(text)
+        if private and mode & 0o077:
+            raise ValueError(f"may be read by others (mode {stat.S_IMODE(mode):o}, not 600)")
+        text = opened.read(largest + 1)
+    if len(text) > largest:
+        raise ValueError(f"is larger than {largest} bytes")
+    return text
 
 
 def read(environment: Mapping[str, str]) -> Spec:
@@ -98,7 +105,7 @@
     if not path:
         raise ConfigFault("BALANCER_CONFIG: is not set")
     try:
-        given = load(path)
+        given = json.loads(contents(path))
     except (OSError, ValueError, RecursionError) as fault:
         raise ConfigFault(f"BALANCER_CONFIG: {path}: {fault}") from None
     if not isinstance(given, dict):
--- a/whinpier/lab/experiment.py
+++ b/whinpier/lab/experiment.py
@@ -13,21 +13,22 @@
 import tomllib
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, get_args
 
 import msgspec
 from msgspec import Meta, Struct
 
-from whinpier.config.operator import Strict, part
+from whinpier.config.operator import Strict, named, part
+from whinpier.lab.mutations import MUTATIONS
 from whinpier.spec import ConfigFault
 
 Positive = Annotated[float, Meta(gt=0.0, le=1e6)]
 Amount = Annotated[float, Meta(ge=0.0, le=1e6)]
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Count = Annotated[int, Meta(ge=1, le=10_000)]
-POLICIES = ("choice", "random", "round_robin", "least_out", "two_choices", "join_idle", "oracle")
-KINDS = ("slow", "hang", "pause", "fail", "shrink", "restart", "lost_zone", "stale_list", "lossy",
-         "partition", "clock_step", "spoilt", "surge")
+Kind = Literal["slow", "hang", "pause", "fail", "shrink", "restart", "lost_zone", "stale_list", "lossy",
+               "partition", "clock_step", "spoilt", "surge"]
+KINDS: tuple[Kind, ...] = get_args(Kind)
 MOST_RUNS = 100_000
 
 
@@ -89,7 +90,7 @@
 class Trouble(Table, frozen=True, kw_only=True):
     """Something that goes wrong, on a schedule."""
 
-    kind: str
+    kind: Kind
     at: Amount
     span: Positive = 5.0
     share: Share = 0.0  # of upstreams (or balancers, for a stale list); 0: one
@@ -101,14 +102,15 @@
     """Troubles by chance, also overlapping."""
 
     count: Annotated[int, Meta(ge=0, le=100)] = 0
-    kinds: list[str] = []  # empty: all
+    kinds: list[Kind] = []  # empty: all
     longest: Positive = 6.0  # seconds
 
 
 class Policy(Table, frozen=True, kw_only=True):
     """How balancers decide."""
 
-    name: str = "choice"
+    name: Literal["choice", "random", "round_robin", "least_out", "two_choices", "join_idle",
+                  "oracle"] = "choice"
     hand_offs: Annotated[int, Meta(ge=1, le=16)] = 3
     second_copies: bool = False
     cancelling: bool = True
@@ -172,8 +174,7 @@
 def checked(given: dict[str, Any]) -> File:
     """An experiment, all of it looked at."""
     found = part(given, File, "")
-    if not re.fullmatch(r"[a-z0-9][a-z0-9_-]{0,62}", found.name):
-        raise ConfigFault(f"name: {found.name!r} is no name: small letters, digits, - and _")
+    named(found.name, "name")
     if not found.streams:
         raise ConfigFault("streams: none is described")
     names = [stream.name for stream in found.streams]
@@ -188,12 +189,10 @@
             if not (0.0 <= begins < ends and times >= 0.0):
                 raise ConfigFault(f"streams[{index}].surges: {begins}, {ends}, {times}: not from, to, times")
     for index, trouble in enumerate(found.troubles):
-        known(trouble.kind, KINDS, f"troubles[{index}].kind")
         if trouble.kind == "lost_zone" and trouble.zone >= found.fleet.zones:
             raise ConfigFault(f"troubles[{index}].zone: {trouble.zone} is none of {found.fleet.zones} zones")
-    for kind in found.chance.kinds:
-        known(kind, KINDS, "chance.kinds")
-    known(found.policy.name, POLICIES, "policy.name")
+    if found.policy.mutation not in ("", *MUTATIONS):
+        raise ConfigFault(f"policy.mutation: {found.policy.mutation!r} is none of {', '.join(MUTATIONS)}")
     if found.size:
         found = sized(found)
     if found.warm >= found.seconds:
@@ -211,11 +210,6 @@
     return msgspec.structs.replace(found, fleet=fleet, streams=streams, size=0.0)
 
 
-def known(name: str, names: tuple[str, ...], at: str) -> None:
-    if name not in names:
-        raise ConfigFault(f"{at}: {name!r} is none of {', '.join(names)}")
-
-
 def runs(given: dict[str, Any], first_seed: int = 1) -> Iterator[Run]:
     """All runs of an experiment: each value of what varies with each seed, pairs of seeds side by side."""
     whole = checked(given)
