--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -1,4 +1,4 @@
-"""What benchmarks share: options, bounds printed one a line, the closing line, lists of stand-ins."""
+"""What benchmarks share: options, bounds printed one a line, the closing line, cores held apart."""
 
 from __future__ import annotations
 
@@ -62,11 +62,5 @@
     return MINE[-1], set(MINE[:-1] or MINE)
 
 
-def upstream_list(addresses: dict[str, str]) -> str:
-    """A static list, as the operator's file has it."""
-    return "[%s]" % ", ".join(f'{{ name = "{name}", address = "{address}" }}'
-                              for name, address in addresses.items())
-
-
 def main(run: Any) -> None:
     sys.exit(run())
--- a/benchmarks/pools.py
+++ b/benchmarks/pools.py
@@ -13,7 +13,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from benchmarks.common import Report, apart, main, upstream_list
+from benchmarks.common import Report, apart, main
+from whinpier.standin import files
 from whinpier.standin.clients import Asks, Gateway
 from whinpier.standin.fleet import Fleet
 from whinpier.standin.ledger import Ledger, percentile
@@ -56,28 +57,26 @@
     return [*found, CALM]
 
 
-def operator(listen: str, fleets: dict[str, Fleet], isolate: bool, extra: str = "") -> str:
-    lines = [f'version = 1\nlisten = ["{listen}"]\n[process]\ndescriptors = {DESCRIPTORS}\n'
-             f'memory_mb = {MEMORY}\nisolate = {str(isolate).lower()}\n']
-    for name, kind in KINDS.items():
-        window = 'window = "8s"' if kind == "ticketed" else ""
-        method = "GET" if kind == "rerunnable" else "POST"
-        lines.append(f"""
-[pools.{name}]
-upstreams = {upstream_list(fleets[name].addresses)}
-[pools.{name}.workloads.{name}]
-kind = "{kind}"
-agreed_time = "{int(AGREED * 1000)}ms"
-patience = "{int(PATIENCE * 1000)}ms"
-{window}
-[[routes]]
-name = "{name}"
-host = "{name}.example"
-prefix = "/{name}"
-methods = ["{method}"]
-pool = "{name}"
-""")
-    return "".join(lines) + extra
+def operator(listen: str, fleets: dict[str, Fleet], isolate: bool) -> files.Plain:
+    """The operator's file as a table."""
+    pools = {name: files.service(name, kind, fleets[name].addresses, AGREED, PATIENCE)
+             for name, kind in KINDS.items()}
+    return {"version": 1, "listen": [listen],
+            "process": {"descriptors": DESCRIPTORS, "memory_mb": MEMORY, "isolate": isolate},
+            "pools": pools, "routes": [files.route(name, kind, name) for name, kind in KINDS.items()]}
+
+
+def fleets_of(seed: int, **script: int) -> dict[str, Fleet]:
+    """Three upstreams for each pool, which together do what its capacity says."""
+    return {name: Fleet({f"{name}-{n}": Script(work=PER_POOL * 4 / CAPACITY[name], **script)
+                         for n in range(PER_POOL)}, seed) for name in KINDS}
+
+
+def usual(name: str, **more: object) -> Asks:
+    """What a pool is asked for."""
+    kind = KINDS[name]
+    return Asks(name, USUAL[name], f"/{name}/x", files.METHODS[kind], f"{name}.example", PATIENCE, AGREED,
+                ticket=kind == "ticketed", **more)  # type: ignore[arg-type]
 
 
 @dataclass
@@ -111,21 +110,17 @@
 
 def run(seed: int, plan: list[Phase], span: float, isolate: bool, folder: Path) -> Seen:
     """One run of all phases."""
-    work = {name: PER_POOL * 4 / CAPACITY[name] for name in KINDS}
-    fleets = {name: Fleet({f"{name}-{n}": Script(work=work[name], queue=16) for n in range(PER_POOL)}, seed)
-              for name in KINDS}
-    listen = free_address()
-    balancer = Balancer(folder, operator=operator(listen, fleets, isolate), listen=listen, cores={apart()[0]})
+    fleets, listen = fleets_of(seed, queue=16), free_address()
+    balancer = Balancer(folder, operator=files.document(operator(listen, fleets, isolate)), listen=listen,
+                        cores={apart()[0]})
     loads = {}
     try:
         balancer.wait_ready()
         start = time.monotonic() + 1.0
-        for name, kind in KINDS.items():
-            surges = [(index * span, (index + 1) * span, phase.rate) for index, phase in enumerate(plan)]
-            loads[name] = Load(balancer.address, Asks(
-                name, USUAL[name], f"/{name}/x", "GET" if kind == "rerunnable" else "POST", f"{name}.example",
-                PATIENCE, AGREED, ticket=kind == "ticketed", retries=3 if name == "posting" else 0,
-                surges=surges if name == "posting" else []), seed, start, span * len(plan), most=2000)
+        surges = [(index * span, (index + 1) * span, phase.rate) for index, phase in enumerate(plan)]
+        for name in KINDS:
+            asks = usual(name, retries=3, surges=surges) if name == "posting" else usual(name)
+            loads[name] = Load(balancer.address, asks, seed, start, span * len(plan), most=2000)
         loads["lost"] = Load(balancer.address, Asks("lost", 20.0, "/nowhere", host="nowhere.example",
                                                     patience=PATIENCE), seed, start, span * len(plan))
         most, held = drive(plan, start, span, fleets["posting"], balancer)
@@ -192,39 +187,30 @@
 
 def reloads(report: Report, seed: int, span: float, folder: Path) -> None:
     """Pools added, moved and taken out under load, many times; no answer is lost, nothing runs twice."""
-    work = {name: PER_POOL * 4 / CAPACITY[name] for name in KINDS}
-    fleets = {name: Fleet({f"{name}-{n}": Script(work=work[name]) for n in range(PER_POOL)}, seed)
-              for name in KINDS}
-    listen, loads = free_address(), dict[str, Load]()
-    usual = operator(listen, fleets, True)
+    fleets, listen, loads = fleets_of(seed), free_address(), dict[str, Load]()
+    whole = operator(listen, fleets, True)
+    plain = files.document(whole)
     # Another pool in the place of the posting pool, with the same upstreams; its route leads there.
-    moved = usual.replace("[pools.posting", "[pools.replacement").replace('pool = "posting"',
-                                                                          'pool = "replacement"')
-    more = usual + "\n".join(f"""
-[pools.more-{number}]
-upstreams = {upstream_list(fleets["tariff"].addresses)}
-[pools.more-{number}.workloads.more]
-kind = "rerunnable"
-agreed_time = "100ms"
-patience = "1s"
-[[routes]]
-name = "more-{number}"
-host = "more-{number}.example"
-pool = "more-{number}"
-""" for number in range(5))
-    faulty = usual.replace('kind = "exclusive"', 'kind = "sometimes"')
-    balancer = Balancer(folder, operator=usual, listen=listen, cores={apart()[0]})
+    moved = files.document(whole | {
+        "pools": {name.replace("posting", "replacement"): pool for name, pool in whole["pools"].items()},
+        "routes": [route | {"pool": "replacement"} if route["pool"] == "posting" else route
+                   for route in whole["routes"]]})
+    added = [f"more-{number}" for number in range(5)]
+    more = files.document(whole | {
+        "pools": whole["pools"] | {
+            name: files.service(name, "rerunnable", fleets["tariff"].addresses, 0.1, 1.0) for name in added},
+        "routes": [*whole["routes"], *(files.route(name, "rerunnable", name) for name in added)]})
+    faulty = plain.replace('kind = "exclusive"', 'kind = "sometimes"')
+    balancer = Balancer(folder, operator=plain, listen=listen, cores={apart()[0]})
     turns = 0
     try:
         balancer.wait_ready()
         start = time.monotonic() + 1.0
-        for name, kind in KINDS.items():
-            loads[name] = Load(balancer.address, Asks(
-                name, USUAL[name], f"/{name}/x", "GET" if kind == "rerunnable" else "POST", f"{name}.example",
-                PATIENCE, AGREED, ticket=kind == "ticketed"), seed, start, span, most=1000)
+        for name in KINDS:
+            loads[name] = Load(balancer.address, usual(name), seed, start, span, most=1000)
         time.sleep(max(0.0, start - time.monotonic()))
         while time.monotonic() < start + span - 0.5:
-            balancer.reload((moved, more, faulty, usual)[turns % 4])
+            balancer.reload((moved, more, faulty, plain)[turns % 4])
             turns += 1
             time.sleep(0.2)
         seen = [load.result() for load in loads.values()]
--- a/benchmarks/radius.py
+++ b/benchmarks/radius.py
@@ -15,7 +15,8 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.common import Report, apart, main, upstream_list
+from benchmarks.common import Report, apart, main
+from whinpier.standin import files
 from whinpier.standin.clients import Asks, Gateway
 from whinpier.standin.fleet import Fleet
 from whinpier.standin.load import Load
@@ -28,37 +29,11 @@
 
 
 def operator(listen: str, radius: str, servers: list[Server], fleet: Fleet) -> str:
-    records = upstream_list({server.name: f"127.0.0.1:{server.port}" for server in servers})
-    return f"""version = 1
-listen = ["{listen}"]
-[pools.records]
-protocol = "radius"
-upstreams = {records}
-[pools.records.radius]
-secret = "server"
-retransmit = "150ms"
-[pools.records.workloads.record]
-kind = "exclusive"
-agreed_time = "1s"
-patience = "3s"
-[pools.charges]
-upstreams = {upstream_list(fleet.addresses)}
-[pools.charges.workloads.charge]
-kind = "exclusive"
-agreed_time = "250ms"
-patience = "1500ms"
-[[routes]]
-name = "charge"
-pool = "charges"
-[radius]
-listen = ["{radius}"]
-[radius.clients.partner]
-networks = ["127.0.0.0/8"]
-secrets = ["partner"]
-[[radius.routes]]
-name = "all"
-pool = "records"
-"""
+    addresses = {server.name: f"127.0.0.1:{server.port}" for server in servers}
+    whole = files.records(radius, addresses, ["partner"], agreed=1.0)
+    whole["pools"]["charges"] = files.service("charge", "exclusive", fleet.addresses, 0.25, 1.5)
+    return files.document({"version": 1, "listen": [listen], **whole,
+                           "routes": [{"name": "charge", "pool": "charges"}]})
 
 
 async def run(seed: int, span: float, weather: Weather, behaviours: list[Behaviour], records: bool,
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -10,29 +10,22 @@
 import pytest
 
 from tests.fake_host import MS, FakeHost
+from tests.waiting import LIMIT, until
 from whinpier.choice import WINDOW
 from whinpier.decay import SECOND, Sum
 from whinpier.model import READY, Upstream, Workload
 from whinpier.runtime.budget import Budget, Part
 from whinpier.spec import Limits
+from whinpier.standin import files
 from whinpier.standin.clients import Asks, Gateway
 from whinpier.standin.fleet import Fleet
 from whinpier.standin.process import Balancer, free_address
 from whinpier.standin.upstream import Script
 
-LIMIT = 10.0
 USUAL = Script(workers=4, work=0.002)
 ids = numbers(1)
 
 
-def until(holds):
-    ends = time.monotonic() + LIMIT
-    while not (found := holds()):
-        assert time.monotonic() < ends, "it did not come"
-        time.sleep(0.005)
-    return found
-
-
 @pytest.fixture(scope="module")
 def fleet():
     fleet = Fleet({name: USUAL for name in ("a-1", "a-2", "b-1", "b-2")})
@@ -60,12 +53,8 @@
         return {"upstreams": upstreams, "workloads": {"w": workload}} | more
 
     def text(self):
-        lines = [f'version = 1\nlisten = ["{self.listen}"]', f"process = {toml(self.process)}"]
-        lines += [f"[pools.{name}]\n" + "\n".join(f"{key} = {toml(value)}" for key, value in pool.items())
-                  for name, pool in self.pools.items()]
-        lines += ["[[routes]]\n" + "\n".join(f"{key} = {toml(value)}" for key, value in route.items())
-                  for route in self.routes]
-        return "\n".join(lines) + "\n"
+        return files.document({"version": 1, "listen": [self.listen], "process": self.process,
+                               "pools": self.pools, "routes": self.routes})
 
     def reload(self):
         self.balancer.reload(self.text())
@@ -90,14 +79,6 @@
         return self.ask(host, **more).headers["X-By"][0]
 
 
-def toml(value):
-    if isinstance(value, dict):
-        return "{ %s }" % ", ".join(f"{key} = {toml(inner)}" for key, inner in value.items())
-    if isinstance(value, (list, tuple)):
-        return "[%s]" % ", ".join(map(toml, value))
-    return str(value).lower() if isinstance(value, bool) else repr(value).replace("'", '"')
-
-
 @contextmanager
 def setting(folder, fleet, **process):
     made = Setting(folder, fleet, **process)
--- a/tests/test_radius.py
+++ b/tests/test_radius.py
@@ -22,6 +22,7 @@
 from whinpier.radius.packet import BadPacket, Packet
 from whinpier.radius.spec import ClientSpec, RouteSpec, client_of
 from whinpier.spec import ConfigFault
+from whinpier.standin import files
 from whinpier.standin.process import Balancer, free_address
 from whinpier.standin.radius import Behaviour, Client, Server, Weather, attributes, proved, request
 
@@ -199,30 +200,10 @@
 # Over sockets.
 
 
-def text(listen, radius, servers, kind="exclusive", more="", patience="2s"):
-    upstreams = ", ".join(f'{{ name = "{one.name}", address = "127.0.0.1:{one.port}" }}' for one in servers)
-    return f"""version = 1
-listen = ["{listen}"]
-[pools.acct]
-protocol = "radius"
-upstreams = [{upstreams}]
-[pools.acct.radius]
-secret = "server"
-retransmit = "100ms"
-[pools.acct.workloads.record]
-kind = "{kind}"
-agreed_time = "500ms"
-patience = "{patience}"
-[radius]
-listen = ["{radius}"]
-{more}
-[radius.clients.partner]
-networks = ["127.0.0.0/8"]
-secrets = ["old", "partner"]
-[[radius.routes]]
-name = "all"
-pool = "acct"
-"""
+def text(listen, radius, servers, kind="exclusive", patience=2.0):
+    addresses = {one.name: f"127.0.0.1:{one.port}" for one in servers}
+    whole = files.records(radius, addresses, ["old", "partner"], kind, patience=patience, retransmit=0.1)
+    return files.document({"version": 1, "listen": [listen], **whole})
 
 
 @contextmanager
@@ -301,7 +282,7 @@
         assert all(count == 1 for count in ran(servers[1:]).values())
         assert balancer.said("outcome=\"timed out\"")
 
-    play(tmp_path, [Behaviour(deaf=True), Behaviour(), Behaviour()], story, patience="1s")
+    play(tmp_path, [Behaviour(deaf=True), Behaviour(), Behaviour()], story, patience=1.0)
 
 
 def test_silence_is_the_answer_where_nothing_can_be_done_and_what_may_have_run_stays_so(tmp_path):
@@ -312,7 +293,7 @@
         assert all(one.sent == 5 for one in nas.told)
         assert max(ran(servers).values()) == 1
 
-    play(tmp_path, [Behaviour(silent=1.0), Behaviour(silent=1.0)], story, patience="1s")
+    play(tmp_path, [Behaviour(silent=1.0), Behaviour(silent=1.0)], story, patience=1.0)
 
 
 def test_forged_strange_and_flooding_packets_get_no_answer_and_cost_no_record(tmp_path):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -17,6 +17,7 @@
 import pytest
 
 from example.toy import Discovery, Upstream
+from tests.waiting import LIMIT, until
 from whinpier.decay import SECOND
 from whinpier import log
 from whinpier.net.clients import Asked
@@ -28,16 +29,6 @@
 GIVEN = json.loads(Path("example/config.json").read_text())
 HEAD = "POST /charge HTTP/1.1\r\nHost: a\r\n"
 ids = numbers()  # no two tasks have the same
-LIMIT = 10.0  # seconds that anything may take; what is waited for comes much sooner
-
-
-def until(holds):
-    """Wait for something that the program does in its own time."""
-    ends = time.monotonic() + LIMIT
-    while not (found := holds()):
-        assert time.monotonic() < ends, "it did not come"
-        time.sleep(0.005)
-    return found
 
 
 class Bank:
--- a/whinpier/cli/demo.py
+++ b/whinpier/cli/demo.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from whinpier.standin import files
 from whinpier.standin.clients import Asks, Gateway
 from whinpier.standin.fleet import Fleet
 from whinpier.standin.ledger import percentile
@@ -15,8 +16,7 @@
 from whinpier.standin.process import Balancer, free_address
 from whinpier.standin.upstream import Script
 
-POOLS = {"tariff": ("rerunnable", "GET"), "posting": ("exclusive", "POST"),
-         "settlement": ("ticketed", "POST")}
+POOLS = {"tariff": "rerunnable", "posting": "exclusive", "settlement": "ticketed"}
 WORK = {"tariff": 0.008, "posting": 0.012, "settlement": 0.015}  # seconds of a worker
 STOPPED = "posting-2"
 AGREED, PATIENCE = 0.25, 1.5
@@ -24,26 +24,13 @@
 
 def operator(listen: str, addresses: dict[str, str]) -> str:
     """An operator's file for the demonstration."""
-    text = f'version = 1\nname = "demo"\nlisten = ["{listen}"]\n'
-    for name, (kind, method) in POOLS.items():
-        upstreams = ", ".join(f'{{ name = "{up}", address = "{at}" }}'
-                              for up, at in addresses.items() if up.startswith(name))
-        window = '\nwindow = "8s"' if kind == "ticketed" else ""
-        text += f"""
-[pools.{name}]
-upstreams = [{upstreams}]
-[pools.{name}.workloads.{name}]
-kind = "{kind}"
-agreed_time = "{AGREED * 1000:g}ms"
-patience = "{PATIENCE * 1000:g}ms"{window}
-[[routes]]
-name = "{name}"
-host = "{name}.example"
-prefix = "/{name}"
-methods = ["{method}"]
-pool = "{name}"
-"""
-    return text
+    pools = {}
+    for name, kind in POOLS.items():
+        own = {upstream: at for upstream, at in addresses.items() if upstream.startswith(name)}
+        pools[name] = files.service(name, kind, own, AGREED, PATIENCE)
+    routes = [files.route(name, kind, name) for name, kind in POOLS.items()]
+    return files.document({"version": 1, "name": "demo", "listen": [listen], "pools": pools,
+                           "routes": routes})
 
 
 def play(seconds: float, rate: float, seed: int) -> dict[str, Any]:
@@ -56,9 +43,9 @@
         try:
             balancer.wait_ready()
             start = time.monotonic() + 0.7
-            for name, (kind, method) in POOLS.items():
-                asks = Asks(name, rate, f"/{name}/1", method, f"{name}.example", PATIENCE, AGREED,
-                            ticket=kind == "ticketed", retries=1)
+            for name, kind in POOLS.items():
+                asks = Asks(name, rate, f"/{name}/1", files.METHODS[kind], f"{name}.example", PATIENCE,
+                            AGREED, ticket=kind == "ticketed", retries=1)
                 loads[name] = Load(balancer.address, asks, seed, start, seconds)
             half = start + seconds / 2
             stop = threading.Timer(max(0.0, half - time.monotonic()), fleet.kill, (STOPPED,))
--- a/whinpier/lab/shrink.py
+++ b/whinpier/lab/shrink.py
@@ -15,6 +15,7 @@
 from whinpier.lab.troubles import by_chance
 from whinpier.lab.world import World
 from whinpier.spec import ConfigFault
+from whinpier.standin.files import document
 
 Given = dict[str, Any]
 
@@ -109,24 +110,16 @@
     """An experiment file, with what is at its default left out."""
     usual: Given = encoded(checked({"name": "x", "fleet": {"machines": [{"count": 1}]},
                                     "streams": [{"name": "x", "rate": 1.0}]}))
-    lines = [f"{key} = {json.dumps(value)}" for key, value in given.items()
-             if not isinstance(value, (dict, list)) and value != usual.get(key, object())]
-    for key in ("fleet", "policy", "holds"):
-        inner = {name: value for name, value in given[key].items() if value != usual[key].get(name, object())
-                 and name != "machines"}
-        if inner:
-            lines += [f"\n[{key}]", *(f"{name} = {json.dumps(value)}" for name, value in inner.items())]
-        if key == "fleet":
-            lines += table("fleet.machines", given["fleet"]["machines"], usual["fleet"]["machines"][0])
-    lines += table("streams", given["streams"], usual["streams"][0])
-    lines += table("troubles", given["troubles"], {"amount": 0.0, "zone": 0})
-    return "\n".join(lines) + "\n"
-
-
-def table(name: str, rows: list[Given], usual: Given) -> list[str]:
-    lines = []
-    for row in rows:
-        lines.append(f"\n[[{name}]]")
-        lines += [f"{key} = {json.dumps(value)}" for key, value in row.items()
-                  if value != usual.get(key, object()) or key in ("name", "count", "rate")]
-    return lines
+    whole = pruned(given, usual)
+    for name in ("fleet", "policy", "holds"):
+        whole[name] = pruned(given[name], usual[name])
+    machine = usual["fleet"]["machines"][0]
+    whole["fleet"]["machines"] = [pruned(one, machine) for one in given["fleet"]["machines"]]
+    whole["streams"] = [pruned(one, usual["streams"][0]) for one in given["streams"]]
+    whole["troubles"] = [pruned(one, {"amount": 0.0, "zone": 0}) for one in given["troubles"]]
+    return document({name: value for name, value in whole.items() if value not in ({}, [])})
+
+
+def pruned(table: Given, usual: Given) -> Given:
+    return {name: value for name, value in table.items()
+            if value != usual.get(name, object()) or name in ("name", "count", "rate")}
--- a/whinpier/lab/sockets.py
+++ b/whinpier/lab/sockets.py
@@ -20,6 +20,7 @@
 from whinpier.lab.troubles import USUAL, by_chance
 from whinpier.lab.world import verdict
 from whinpier.spec import ConfigFault
+from whinpier.standin import files
 from whinpier.standin.clients import Asks, Gateway
 from whinpier.standin.fleet import Fleet
 from whinpier.standin.ledger import Ledger, percentile
@@ -56,6 +57,8 @@
     def __init__(self, experiment: File, seed: int, folder: Path) -> None:
         check(experiment)
         self.experiment, self.seed = experiment, seed
+        self.troubles = [*experiment.troubles, *by_chance(experiment.chance, experiment.seconds,
+                                                          experiment.warm, 1, seed)]
         scripts: dict[str, Script] = {}
         for machine in experiment.fleet.machines:
             for _ in range(machine.count):
@@ -76,24 +79,22 @@
         """The operator's file of one balancer, with the list as it now is."""
         experiment, fleet, policy = self.experiment, self.experiment.fleet, self.experiment.policy
         states = {name: "draining" if name in self.out else "ready" for name in self.fleet.addresses}
-        upstreams = ", ".join(f'{{ name = "{name}", address = "{address}", state = "{states[name]}" }}'
-                              for name, address in self.fleet.addresses.items())
-        lines = [f'version = 1\nlisten = ["{listen}"]\n[process]\ndescriptors = 4096\nmemory_mb = 512\n'
-                 f'seed = "{self.seed * 1000 + number:x}"\n[pools.lab]\nupstreams = [{upstreams}]\n'
-                 f"balancers = {fleet.balancers}\nnumber = {number}\nhand_offs = {policy.hand_offs}\n"
-                 f"second_copies = {str(policy.second_copies).lower()}\n"
-                 f"cancelling = {str(policy.cancelling).lower()}\n"]
+        upstreams = [one | {"state": states[one["name"]]} for one in files.upstreams(self.fleet.addresses)]
+        workloads, routes = {}, []
         for stream in experiment.streams:
-            window = f'window = "{stream.window * 1000:g}ms"\n' if stream.kind == "ticketed" else ""
-            lines.append(f'[pools.lab.workloads.{stream.name}]\nkind = "{stream.kind}"\n'
-                         f'agreed_time = "{stream.agreed_time * 1000:g}ms"\n'
-                         f'patience = "{stream.patience * 1000:g}ms"\n'
-                         f'payoff = {stream.payoff}\nlate_payoff = {stream.late_payoff}\n{window}')
-        for stream in experiment.streams:
-            method = "GET" if stream.kind == "rerunnable" else "POST"
-            lines.append(f'[[routes]]\nname = "{stream.name}"\npath = "/{stream.name}"\npool = "lab"\n'
-                         f'workload = "{stream.name}"\nmethods = ["{method}"]\n')
-        return "".join(lines)
+            workloads[stream.name] = {
+                "kind": stream.kind, "agreed_time": files.ms(stream.agreed_time),
+                "patience": files.ms(stream.patience), "payoff": stream.payoff,
+                "late_payoff": stream.late_payoff,
+                **({"window": files.ms(stream.window)} if stream.kind == "ticketed" else {})}
+            routes.append({"name": stream.name, "path": f"/{stream.name}", "pool": "lab",
+                           "workload": stream.name, "methods": [files.METHODS[stream.kind]]})
+        pool = {"upstreams": upstreams, "workloads": workloads, "balancers": fleet.balancers,
+                "number": number, "hand_offs": policy.hand_offs, "second_copies": policy.second_copies,
+                "cancelling": policy.cancelling}
+        process = {"descriptors": 4096, "memory_mb": 512, "seed": f"{self.seed * 1000 + number:x}"}
+        return files.document({"version": 1, "listen": [listen], "process": process, "pools": {"lab": pool},
+                               "routes": routes})
 
     def reload(self) -> None:
         for number, balancer in enumerate(self.balancers):
@@ -123,10 +124,9 @@
 
     def plan(self, start: float) -> list[threading.Timer]:
         """Timers that bring the troubles about and undo them."""
-        experiment, timers = self.experiment, list[threading.Timer]()
-        drawn = by_chance(experiment.chance, experiment.seconds, experiment.warm, 1, self.seed)
+        timers = list[threading.Timer]()
         chance, names = Random(f"victims/{self.seed}"), list(self.fleet.addresses)
-        for trouble in [*experiment.troubles, *drawn]:
+        for trouble in self.troubles:
             hit = chance.sample(names, max(1, round(trouble.share * len(names))))
             if trouble.kind == "surge":
                 continue  # the clients' own
@@ -139,10 +139,8 @@
         return timers
 
     def surges(self) -> list[tuple[float, float, float]]:
-        experiment = self.experiment
-        drawn = by_chance(experiment.chance, experiment.seconds, experiment.warm, 1, self.seed)
         return [(trouble.at, trouble.at + trouble.span, trouble.amount or USUAL["surge"])
-                for trouble in [*experiment.troubles, *drawn] if trouble.kind == "surge"]
+                for trouble in self.troubles if trouble.kind == "surge"]
 
     # The run.
 
@@ -156,7 +154,7 @@
                 for stream in experiment.streams:
                     asks = Asks(
                         stream.name, stream.rate / len(self.balancers), f"/{stream.name}",
-                        "GET" if stream.kind == "rerunnable" else "POST", "lab", stream.patience,
+                        files.METHODS[stream.kind], "lab", stream.patience,
                         stream.agreed_time, ticket=stream.kind == "ticketed", retries=stream.retries,
                         surges=[*stream.surges, *self.surges()], work=stream.work, spread=stream.spread)
                     loads.append(Load(balancer.address, asks, self.seed * 1000 + index, start,
@@ -223,7 +221,7 @@
                  "seed": self.seed, "breaches": breaches, "told": [], "servers": dict(ledger.by), "events": 0,
                  "wall_s": experiment.seconds, "late": late, "void": late > LATE,
                  "troubles": [{"kind": one.kind, "at": one.at, "span": one.span, "share": one.share}
-                              for one in experiment.troubles]}
+                              for one in self.troubles]}
         found["holds"], found["why"] = verdict(experiment, found)
         if found["void"]:
             found["why"] = [f"void: clients sent {late:.1%} of tasks late", *found["why"]]
