A RADIUS packet goes out again only on its own socket; servers that have gone close theirs

Cause, found on a second reading and shown by three stories that failed: a server whose address changed had its identifiers begun anew, and packets that were out were sent again from the new socket to the new address, where they were new requests: one exclusive record ran twice. A server that was taken out with records out never closed its sockets, since it was asked to only once. An answer sealed with the old secret was refused after a reload that changed it. Change: a hand-off keeps the socket and the secret it went out with; closing keeps identifiers in use or resting; a server that is not ready closes its sockets with its last record, as HTTP's does.

--- a/tests/test_radius.py
+++ b/tests/test_radius.py
@@ -7,13 +7,17 @@
 from collections import Counter
 from contextlib import contextmanager
 from ipaddress import IPv4Network
+from pathlib import Path
+from types import SimpleNamespace
 
+import anyio
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from pyrad import packet as other
 from pyrad.dictionary import Dictionary
 
+from tests.waiting import LIMIT, until
 from whinpier.config import operator
 from whinpier.decay import SECOND
 from whinpier.radius import keys
@@ -214,7 +218,7 @@
     try:
         balancer.wait_ready()
         host, _, port = radius.rpartition(":")
-        yield balancer, (host, int(port)), lambda **other: text(listen, radius, servers, **other)
+        yield balancer, (host, int(port)), lambda to=servers, **other: text(listen, radius, to, **other)
     finally:
         balancer.stop(wait=False)
     assert not balancer.said("event=broken") and not balancer.said("level=error"), balancer.log()
@@ -368,6 +372,60 @@
     play(tmp_path, [Behaviour(delay=0.3)], story)
 
 
+def datagram_sockets(process):
+    """How many a process holds, as the system counts them."""
+    held = {os.readlink(file) for file in Path(f"/proc/{process.pid}/fd").iterdir()}
+    lines = Path("/proc/net/udp").read_text().splitlines()[1:]
+    return sum(f"socket:[{line.split()[9]}]" in held for line in lines)
+
+
+async def met_by_all(servers):
+    with anyio.fail_after(LIMIT):
+        while not all(server.ran for server in servers):
+            await asyncio.sleep(0.01)
+
+
+def test_a_server_that_is_taken_out_answers_what_it_has_and_then_holds_no_descriptor(tmp_path):
+    async def story(servers, balancer, address, other):
+        nas = await client(address, first=1.5)
+        asking = asyncio.create_task(nas.run(0.8))
+        await met_by_all(servers)
+        await asyncio.to_thread(balancer.reload, other(servers[1:]))
+        await asking
+        assert all(one.answers for one in nas.told) and max(ran(servers).values()) == 1
+        # The listener's, and one towards the server that is left.
+        assert await asyncio.to_thread(until, lambda: datagram_sockets(balancer.process) == 2)
+
+    play(tmp_path, [Behaviour(delay=0.3), Behaviour(delay=0.3)], story)
+
+
+def test_servers_that_change_addresses_get_nothing_of_what_is_out_at_the_old_ones(tmp_path):
+    async def story(servers, balancer, address, other):
+        nas = await client(address, first=0.3, tries=1)
+        asking = asyncio.create_task(nas.run(0.8))
+        await met_by_all(servers)
+        swapped = [SimpleNamespace(name=one.name, port=two.port) for one, two in zip(servers, servers[::-1])]
+        await asyncio.to_thread(balancer.reload, other(swapped))
+        await asking
+        assert max(ran(servers).values()) == 1 and nas.told[-1].answers
+        assert await asyncio.to_thread(until, lambda: datagram_sockets(balancer.process) == 3)
+
+    play(tmp_path, [Behaviour(delay=0.1), Behaviour(delay=0.1)], story, patience=1.0)
+
+
+def test_a_servers_secret_may_change_while_it_has_records(tmp_path):
+    async def story(servers, balancer, address, other):
+        nas = await client(address, rate=60.0, first=1.5, tries=0)
+        asking = asyncio.create_task(nas.run(0.3))
+        await met_by_all(servers)
+        await asyncio.to_thread(balancer.reload, other().replace('secret = "server"', 'secret = "new"'))
+        await asking
+        sealed_before = [one for one in nas.told if ran(servers)[one.record]]
+        assert sealed_before and all(one.answers for one in sealed_before)
+
+    play(tmp_path, [Behaviour(delay=0.4)], story)
+
+
 @pytest.mark.parametrize("old, new, said", [
     ('secret = "server"', "", "pools.acct.radius: either secret or secret_file"),
     ('secret = "server"', 'secret_file = "/nowhere"', "pools.acct.radius.secret_file: "),
--- a/whinpier/radius/back.py
+++ b/whinpier/radius/back.py
@@ -14,7 +14,7 @@
 
 from whinpier import log
 from whinpier.decay import SECOND
-from whinpier.model import FULFILLED, MOOT
+from whinpier.model import FULFILLED, MOOT, READY
 from whinpier.radius import packet as wire
 from whinpier.radius.idents import Idents
 from whinpier.radius.packet import BadPacket, Packet
@@ -38,9 +38,11 @@
 
     def __init__(self, task: Record, peer: Server, now: int, slot: tuple[int, int]) -> None:
         super().__init__(task, peer, now)
-        self.record, self.slot, self.tries = task, slot, 0
+        self.slot, self.tries = slot, 0
+        # What it was sent with, whatever becomes of its server's address and secret meanwhile.
         self.asked: Packet
-        self.data = b""
+        self.sock: socket.socket
+        self.secret, self.data = peer.spec.secret, b""
         self.state = urandom(8)  # its Proxy-State, which nobody else's can be
 
 
@@ -76,13 +78,13 @@
                             for kind, value in asked.attributes]
         asked.attributes.append((wire.PROXY_STATE, sending.state))
         try:
-            sending.data = wire.sealed(asked, self.spec.secret, self.spec.sign)
+            sending.data = wire.sealed(asked, sending.secret, self.spec.sign)
         except ValueError:
             log.counts["radius_too_large"] += 1
             self.release(sending, True)
             self.pool.settle(sending, MOOT)
             return sending
-        sending.asked = asked
+        sending.asked, sending.sock = asked, self.sockets[slot[0]]
         self.transmit(sending)
         return sending
 
@@ -108,11 +110,13 @@
 
     def transmit(self, sending: Sending) -> None:
         """Send the packet, now and again, until it is answered or given up."""
-        if sending.settled or self.waiting.get(sending.slot) is not sending:
+        # Guards against a second run: from another socket, or at another address, it would be a new request.
+        moved = self.sockets.get(sending.slot[0]) is not sending.sock
+        if moved or self.waiting.get(sending.slot) is not sending:
             return
         sending.tries += 1
         try:
-            self.sockets[sending.slot[0]].send(sending.data)
+            sending.sock.send(sending.data)
             log.counts["radius_sent"] += 1
         except (BlockingIOError, ConnectionRefusedError):
             log.counts["radius_not_sent"] += 1  # a full buffer, or word of an earlier one: sent again later
@@ -150,7 +154,7 @@
         if sending is None:
             log.counts["radius_late_answer"] += 1  # to one that was given up, or the second to one
             return
-        wire.check_answer(packet, data, sending.asked, self.spec.secret, self.spec.signed)
+        wire.check_answer(packet, data, sending.asked, sending.secret, self.spec.signed)
         states = packet.all(wire.PROXY_STATE)
         if states and sending.state not in states:
             raise BadPacket("an answer without our Proxy-State")
@@ -161,6 +165,8 @@
         if self.waiting.get(sending.slot) is sending:
             del self.waiting[sending.slot]
             self.idents.give(*sending.slot, answered, self.loop.clock())
+            if self.state != READY:
+                self.retire()  # it finished what it had
 
     def stop(self, sent: Sent) -> None:
         assert isinstance(sent, Sending)
@@ -176,13 +182,12 @@
             self.close()
 
     def close(self) -> None:
-        """Let go of all sockets; what is out on them is not answered any more."""
+        """Let go of all sockets. What is out on them is not answered any more, and keeps its identifier."""
         for sock in self.sockets.values():
             asyncio.get_running_loop().remove_reader(sock)
             sock.close()
             self.pool.part.links.give()
         self.sockets.clear()
-        self.idents = Idents(self.spec.sockets, self.spec.quarantine)
 
     def retire(self) -> None:
         if not self.waiting:
