--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -6,10 +6,13 @@
 import socket
 import subprocess
 import sys
+import sysconfig
+import tomllib
 from pathlib import Path
 
 import pytest
 
+from tests.waiting import until
 from whinpier import log
 
 GIVEN = json.loads(Path("example/config.json").read_text())
@@ -95,3 +98,52 @@
     assert len(lines) <= 2 * log.LINES  # a second may end in between
     assert lines[0].endswith(' level=info event=again why="a \\"b\\"\\n"')
     logging.getLogger("whinpier").handlers.clear()
+
+
+DEPLOYED = tomllib.loads(Path("deploy/balancer.toml").read_text())
+
+
+def test_the_deployed_line_ends_in_one_process_linked_against_the_c_library(tmp_path):
+    """Guards against a shell that stays before the balancer, and against a second program beside it."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.2", 0))
+        address = probe.getsockname()
+    (tmp_path / "c.json").write_text(json.dumps(
+        GIVEN | {"listen": "%s:%d" % address, "discovery": "127.0.0.2:1"}))
+    line = DEPLOYED["run"].replace(".venv/bin/python", sys.executable)
+    balancer = subprocess.Popen(line, shell=True, stderr=subprocess.DEVNULL,
+                                env=os.environ | {"BALANCER_CONFIG": str(tmp_path / "c.json")})
+    try:
+        until(lambda: answers_up(address))
+        own = Path("/proc", str(balancer.pid))
+        assert own.joinpath("cmdline").read_bytes().endswith(b"-O\0-m\0whinpier\0")
+        assert not [text for task in own.glob("task/*/children") if (text := task.read_text())]
+        assert "/libc.so" in own.joinpath("maps").read_text()
+    finally:
+        balancer.terminate()
+        assert balancer.wait(20) == 0
+
+
+def answers_up(address):
+    try:
+        with socket.create_connection(address, 5) as client:
+            client.sendall(b"GET /up HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            return client.recv(99).startswith(b"HTTP/1.1 ")
+    except ConnectionRefusedError:
+        return False
+
+
+def test_all_that_a_start_imports_is_compiled_by_the_build():
+    """Guards against 200 balancers that each compile a package on a file system that keeps nothing."""
+    packages = sysconfig.get_path("purelib")
+    step = next(step for step in DEPLOYED["build"].split("&&") if "-O -m compileall" in step)
+    compiled = [Path(name.replace(".venv/lib/python3*/site-packages", packages)).resolve()
+                for name in step.split("compileall")[1].split() if not name.startswith("-")]
+    code = "import sys, anyio._backends._asyncio, whinpier.__main__\n" \
+           "print(*(m.__file__ for m in list(sys.modules.values()) if getattr(m, '__cached__', None)))"
+    ended = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=20)
+    files = [Path(name) for name in ended.stdout.split()]
+    beside = [file for file in files if file.is_relative_to(packages)
+              or not file.is_relative_to(sysconfig.get_path("stdlib"))]
+    assert len(beside) > 20
+    assert not [file for file in beside if not any(file.is_relative_to(folder) for folder in compiled)]
