A head is bounded by its bytes and lines, however it was cut on its way: 431, counted

Cause: h11 bounds only what it cannot take yet (h11/_connection.py, next_event), and check_lines in net/buffers.py looked at the form of lines alone. A request of 5,000 lines (55 KB) in one read was passed on with 200 by an operator's route; in two reads it got 431. Answers had the same hole. Change: buffers.check_head stands before the parser on both sides: 16 KiB and 128 lines at most, what stands first in the head decides, so that cuts make no difference; the quick way leaves such a head to it; trailers are held to the same. Counted as heads_too_large.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -198,6 +198,7 @@
     raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"8000\r\n%s\r\n" % (b"x" * 0x8000) * 40),
     raw(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
     raw(b"HTTP/1.1 200 OK\nContent-Length: 0\r\n\r\n"),
+    raw(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + b"X-Many: 1\r\n" * 5000 + b"\r\n"),
     # From here on with the connection left open, and no more.
     lambda request: request.wfile.write(b"HTTP/1.1 200 OK\r\nX-Never: e"),
     lambda request: request.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"),
@@ -413,6 +414,7 @@
     (HEAD.replace("POST", "GET") + "X-Txn: 1\r\nX-Remaining: 1\r\n\r\n", 405),
     (HEAD + "X-Txn: 1\r\nX-Remaining: 1\r\nContent-Length: 70000\r\n\r\n" + "x" * 70000, 413),
     (HEAD + "X-Txn: 1\r\nX-Long: " + "x" * 70000 + "\r\n\r\n", 431),
+    (HEAD + "X-Txn: 1\r\nX-Remaining: 1\r\nContent-Length: 0\r\n" + "X-Many: 1\r\n" * 5000 + "\r\n", 431),
     (HEAD + "X-Txn: 1\r\nX-Remaining: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
     (HEAD + "X-Txn: 1\r\nX-Remaining: 1_0\r\nContent-Length: 0\r\n\r\n", 400),
     (HEAD + "X-Txn: 1\r\nX-Txn: 2\r\nX-Remaining: 1\r\nContent-Length: 0\r\n\r\n", 400),
--- a/whinpier/net/buffers.py
+++ b/whinpier/net/buffers.py
@@ -30,7 +30,8 @@
 REQUEST = re.compile(rb"([A-Z]+) (/[!-~]*) HTTP/1\.1\r\n" + FIELDS)
 ANSWER = re.compile(rb"HTTP/1\.1 (200|50[0-4])(?: [ -~]*)?\r\n" + FIELDS)
 UNUSUAL = frozenset((b"transfer-encoding", b"expect", b"upgrade", b"trailer"))
-HEAD = 16 * 1024  # bytes of a head at most, as for the parser
+HEAD = 16 * 1024  # bytes of a head at most, however they are cut: as the parser's for one that is incomplete
+LINES = 128  # lines of a head at most: five times what a gateway with traces and cookies adds
 
 _spare: list[bytearray] = []
 
@@ -63,8 +64,11 @@
     found = form.match(data)
     if not found or found.end() > HEAD:
         return None
-    lines = (line.partition(b":") for line in found[0].split(b"\r\n")[1:-2])
-    headers = [(name.lower(), value.strip(b" ")) for name, _, value in lines]
+    lines = found[0].split(b"\r\n")[:-2]
+    if len(lines) > LINES:
+        return None
+    parted = (line.partition(b":") for line in lines[1:])
+    headers = [(name.lower(), value.strip(b" ")) for name, _, value in parted]
     fields, body = dict(headers), data[found.end():]
     length = fields.get(b"content-length", b"0")
     if (len(fields) < len(headers) or not UNUSUAL.isdisjoint(fields)
@@ -74,12 +78,39 @@
     return found, headers, body
 
 
-def check_lines(parser: h11.Connection) -> None:
-    """Refuse a head whose lines can be read two ways. To be asked before the parser takes the head."""
+class TooLarge(h11.RemoteProtocolError):
+    """A head, or what follows a body in chunks, of more bytes or lines than any reader has to take."""
+
+    def __init__(self, what: str) -> None:
+        super().__init__(what, error_status_hint=431)
+        log.counts["heads_too_large"] += 1
+
+
+def check_head(parser: h11.Connection) -> None:
+    """Refuse a head that is too large, or whose lines can be read two ways.
+
+    To be asked before the parser takes the head, which bounds only what it cannot take yet: one that came in
+    a single read could have any size. What stands first in it decides, so that its cuts make no difference.
+    """
     ahead = parser.trailing_data[0]
-    end = ahead.find(b"\r\n\r\n")
-    if TWO_WAYS.search(ahead, 0, end + 2 if end >= 0 else len(ahead)):
+    end = ahead.find(b"\r\n\r\n", 0, HEAD)
+    bound = end + 2 if end >= 0 else min(len(ahead), HEAD)
+    many = ahead.count(b"\r\n", 0, bound) > LINES
+    if many:
+        bound = len(b"\r\n".join(ahead.split(b"\r\n", LINES + 1)[:LINES + 1]))
+    if TWO_WAYS.search(ahead, 0, bound):
         raise h11.RemoteProtocolError("lines that can be read two ways")
+    if many:
+        raise TooLarge("a head of too many lines")
+    if end < 0 and len(ahead) > HEAD:
+        raise TooLarge("a head of too many bytes")
+
+
+def check_trailers(end: h11.EndOfMessage) -> None:
+    """Refuse what follows a body in chunks where it is larger than a head may be."""
+    if (len(end.headers) > LINES
+            or sum(len(name) + len(value) + 4 for name, value in end.headers) > HEAD):
+        raise TooLarge("trailers of too many lines or bytes")
 
 
 def check_framing(headers: list[tuple[bytes, bytes]], version: bytes) -> None:
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -167,13 +167,14 @@
         try:
             while not self.closed and not self.last and self.task is None:
                 if not self.begun:
-                    buffers.check_lines(self.parser)
+                    buffers.check_head(self.parser)
                 event = self.parser.next_event()
                 if isinstance(event, h11.Request):
                     self.begin(event)
                 elif isinstance(event, h11.Data):
                     self.take_body(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage):
+                    buffers.check_trailers(event)
                     self.reading = self.begun = False
                     self.request()
                 elif self.lost:
--- a/whinpier/net/upstreams.py
+++ b/whinpier/net/upstreams.py
@@ -265,7 +265,7 @@
             more = True
             while more:
                 if parser.their_state is h11.SEND_RESPONSE:
-                    buffers.check_lines(parser)
+                    buffers.check_head(parser)
                 more = self.take(parser.next_event())
         except h11.RemoteProtocolError as fault:
             self.spoilt(fault)
@@ -330,6 +330,7 @@
                 raise h11.RemoteProtocolError("body too large")
             answer.parts.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
+            buffers.check_trailers(event)
             parser = self.parser
             # Guards against one task's surplus bytes passing for the next one's answer.
             self.finish(parser is not None and not parser.trailing_data[0]
