What all commands share has a file of its own; tables break no word; faults in experiments are one line

Need: cli/demo.py and cli/lab.py took show and fail from cli/main.py, which takes them; at 80 columns the tables of demo and lab run broke words ("trou/bles", "postin/g"). Cause of the traceback: type_at in config/operator.py ended in the list's type where a path ends in a list ([[streams]]), and msgspec.structs.fields takes a struct only; what varies was checked only when its turn came, without the file's name. Change: cli/shown.py (fail, paths, tables: columns that do not fit go into a further table with those that name a row, left-over width goes to the longest texts); type_at takes a type out of its lists; experiment.read checks every combination of what varies.

--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -7,6 +7,7 @@
 from click.testing import CliRunner
 
 from whinpier.cli.main import cli
+from whinpier.cli.shown import show
 from whinpier.lab.clock import SECOND, Clock
 from whinpier.lab.experiment import KINDS, checked, encoded, put, read, runs, shipped
 from whinpier.lab.results import Results, compare, interval, run_all
@@ -97,6 +98,9 @@
     ("policy", {"name": "best"}, "policy.name: 'best' is none of choice, random"),
     ("troubles", [{"kind": "flood", "at": 1.0}], "troubles[0].kind: 'flood' is none of"),
     ("troubles", [{"kind": "lost_zone", "at": 1.0, "zone": 3}], "troubles[0].zone: 3 is none of 1 zones"),
+    ("streams[0].knd", "exclusive", "streams[0].knd: is no key here (meant: kind); allowed: name, rate"),
+    ("fleet.machines[0].cors", 2, "fleet.machines[0].cors: is no key here (meant: cores)"),
+    ("troubles", [{"kind": "slow", "att": 1.0}], "troubles[0].att: is no key here (meant: at)"),
     ("warm", 6.0, "warm: leaves nothing"), ("name", "A b", "name: "), ("seeds", 0, "seeds: "),
 ])
 def test_a_faulty_experiment_is_named_by_its_key(path, value, said):
@@ -117,6 +121,29 @@
             list(runs(given(vary={path: [1.0]})))
 
 
+def test_a_fault_in_what_varies_is_one_line_with_file_key_and_what_is_allowed(tmp_path):
+    file = tmp_path / "e.toml"
+    varied = {"troubles": [[], [{"kind": "slow", "att": 1.0}]]}
+    table = encoded(checked(given(seconds=2.0))) | {"vary": varied}
+    file.write_text(toml(table))
+    ended = CliRunner().invoke(cli, ["lab", "run", str(file), "--out", str(tmp_path / "out")])
+    assert ended.exit_code == 2 and len(ended.stderr.splitlines()) == 1
+    assert f"{file}: vary" in ended.stderr
+    assert "troubles[0].att: is no key here (meant: at); allowed" in ended.stderr
+    assert not (tmp_path / "out").exists()
+
+
+def test_a_table_wider_than_the_screen_breaks_no_word_and_names_each_row_in_full(capsys, monkeypatch):
+    monkeypatch.setenv("COLUMNS", "60")
+    rows = [{"runs": "streams[0].rate 3000.0", "kind": "as the workload has", **{
+        f"a_figure_{number}": 1234.5678 + number for number in range(6)}} for _ in range(3)]
+    show(rows, "a title")
+    lines = capsys.readouterr().out.splitlines()
+    assert max(map(len, lines)) <= 60 and sum("streams[0].rate 3000.0" in line for line in lines) >= 6
+    text = " ".join(lines).split()
+    assert {"workload", "figure", *(str(1234.5678 + number) for number in range(6))} <= set(text)
+
+
 def test_shipped_experiments_are_good():
     assert {"charges", "lookups", "partners", "festival", "storm", "overlap", "scale"} <= set(shipped())
     for path in shipped().values():
--- a/whinpier/cli/demo.py
+++ b/whinpier/cli/demo.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from whinpier.cli.shown import show
 from whinpier.standin import files
 from whinpier.standin.clients import Asks, Gateway
 from whinpier.standin.fleet import Fleet
@@ -80,9 +81,7 @@
 
 
 def tell(found: dict[str, Any]) -> None:
-    from whinpier.cli.main import show
-
-    show(found["pools"], f"what clients saw, before and after {found['stopped']} was stopped")
+    show(found["pools"], f"what clients saw, before and after {found['stopped']} was stopped", naming=2)
     show([{"upstream": name, "tasks": count} for name, count in found["went_to"].items()], "where tasks ran")
     print(f"exclusive tasks that ran twice: {found['exclusive_twice']}; "
           f"without an answer: {found['unanswered']}; rules broken: {found['broken']}")
--- a/whinpier/cli/lab.py
+++ b/whinpier/cli/lab.py
@@ -9,11 +9,9 @@
 
 import click
 
-from whinpier.cli.main import FILE, fail, show
+from whinpier.cli.shown import FILE, FOLDER, fail, show
 from whinpier.spec import ConfigFault
 
-FOLDER = click.Path(file_okay=False, path_type=Path)
-
 
 @click.group()
 def lab() -> None:
--- a/whinpier/cli/main.py
+++ b/whinpier/cli/main.py
@@ -10,21 +10,17 @@
 import os
 import sys
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import Any
 
 import click
 
+from whinpier.cli.lab import lab
+from whinpier.cli.shown import FILE, fail, show
 from whinpier.spec import ConfigFault, Spec
 
-FILE = click.Path(dir_okay=False, path_type=Path)
 MS = 1_000_000  # nanoseconds
 
 
-def fail(text: str, code: int = 2) -> NoReturn:
-    click.echo(f"whinpier: {text}", err=True)
-    sys.exit(code)
-
-
 def read(file: Path) -> Spec:
     """An operator's file, or the end of the command with its fault."""
     from whinpier.config import operator
@@ -192,28 +188,8 @@
             for one in sorted(spec.table.routes, key=lambda one: one.rank())]
 
 
-def show(rows: list[dict[str, Any]], title: str) -> None:
-    """A table for people."""
-    from rich import box
-    from rich.console import Console
-    from rich.table import Table
-
-    table = Table(title=title, title_justify="left", box=box.SIMPLE)
-    for key in rows[0] if rows else ():
-        table.add_column(key.replace("_", " "), overflow="fold")
-    for row in rows:
-        table.add_row(*("" if value is None else str(value) for value in row.values()))
-    Console().print(table)
-
-
 def main() -> None:
     cli(prog_name="whinpier")
 
 
-def _lab() -> None:
-    from whinpier.cli.lab import lab
-
-    cli.add_command(lab)
-
-
-_lab()
+cli.add_command(lab)
--- a/whinpier/config/operator.py
+++ b/whinpier/config/operator.py
@@ -237,11 +237,17 @@
 
 
 def type_at(kind: Any, path: str) -> Any:
-    """The type of the field that a path such as `.limits.tasks` or `.methods[0]` leads to."""
+    """The type that a path such as `.limits.tasks` or `.streams[0]` leads to."""
     for step in re.findall(r"\.(\w+)", path):
-        while not isinstance(kind, type) or get_origin(kind):
-            kind = next(inner for inner in get_args(kind) if inner is not type(None))  # of a list, or of none
-        kind = next(field.type for field in msgspec.structs.fields(kind) if field.encode_name == step)
+        kind = next(field.type for field in msgspec.structs.fields(bare(kind)) if field.encode_name == step)
+    return bare(kind)
+
+
+def bare(kind: Any) -> Any:
+    """What a list, a table of anything or a type that may be none holds."""
+    while get_origin(kind) not in (None, Literal):
+        inner = [one for one in get_args(kind) if one is not type(None)]
+        kind = inner[-1] if get_origin(kind) is dict else inner[0]
     return kind
 
 
--- a/whinpier/lab/experiment.py
+++ b/whinpier/lab/experiment.py
@@ -165,7 +165,10 @@
     try:
         text = file.read_text("utf-8")
         given = tomllib.loads(text)
-        return given, checked(given)
+        found = checked(given)
+        for _ in variants(given):
+            pass
+        return given, found
     except ConfigFault as fault:
         raise ConfigFault(f"{file}: {fault}") from None
     except (OSError, ValueError, RecursionError) as fault:
@@ -211,10 +214,9 @@
     return msgspec.structs.replace(found, fleet=fleet, streams=streams, size=0.0)
 
 
-def runs(given: dict[str, Any], first_seed: int = 1) -> Iterator[Run]:
-    """All runs of an experiment: each value of what varies with each seed, pairs of seeds side by side."""
+def variants(given: dict[str, Any]) -> Iterator[tuple[dict[str, Any], File]]:
+    """Each combination of what varies, with its experiment. Raises ConfigFault for a faulty one."""
     whole = checked(given)
-    paths = list(whole.vary)
     count = whole.seeds
     for path, values in whole.vary.items():
         if not isinstance(values, list) or not values:
@@ -223,7 +225,7 @@
     if count > MOST_RUNS:
         raise ConfigFault(f"vary: {count} runs, over {MOST_RUNS}")
     for combination in itertools.product(*whole.vary.values()):
-        chosen: dict[str, Any] = dict(zip(paths, combination))
+        chosen: dict[str, Any] = dict(zip(whole.vary, combination))
         changed = copy.deepcopy(given)
         changed.pop("vary", None)
         for path, value in chosen.items():
@@ -232,7 +234,13 @@
             experiment = checked(changed)
         except ConfigFault as fault:
             raise ConfigFault(f"vary {chosen}: {fault}") from None
-        for seed in range(first_seed, first_seed + whole.seeds):
+        yield chosen, experiment
+
+
+def runs(given: dict[str, Any], first_seed: int = 1) -> Iterator[Run]:
+    """All runs of an experiment: each value of what varies with each seed, pairs of seeds side by side."""
+    for chosen, experiment in variants(given):
+        for seed in range(first_seed, first_seed + experiment.seeds):
             yield Run(experiment, chosen, seed)
 
 
