What all tables of an operator's file share stands below; RADIUS brings its own tables and specs

Need: config/operator.py (577 lines) checked every part's tables and spec.py named RADIUS types: a protocol was known below itself, and the next ones (TCP and TLS of RADIUS, xDS) would have been too. Change: whinpier/tables.py (typed structs, names, durations, secrets, what is said of a fault), whinpier/files.py (bounded reads), radius/tables.py (its keys and checks). Spec.beside holds what each further protocol has, by its name; the process knows its listeners only. A story holds that nothing below a protocol names it.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 LAYERS = [  # from below; a module may import from its own layer and from those before it
-    ("decay", "model", "log", "spec", "settings", "routing"),
+    ("decay", "model", "log", "spec", "settings", "files", "tables", "routing"),
     ("choice",),
     ("runtime",),
     ("net", "simhost"),
@@ -19,6 +19,12 @@
     return next(place for place, parts in enumerate(LAYERS) if name in parts)
 
 
+def test_what_lies_below_a_protocol_does_not_name_it():
+    """A protocol beside HTTP brings its own tables, spec, front and peers; RADIUS came, others will."""
+    for file in ("spec.py", "tables.py", "runtime/life.py", "runtime/pool.py", "runtime/budget.py"):
+        assert "radius" not in Path("whinpier", file).read_text().lower(), file
+
+
 def test_imports_run_downward():
     for file in Path("whinpier").rglob("*.py"):
         own = file.relative_to("whinpier").with_suffix("").parts[0]
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -162,4 +162,4 @@
 @pytest.mark.parametrize("file", sorted(Path("deploy").glob("operator*.toml")), ids=str)
 def test_example_files_are_good(file):
     spec = operator.read(str(file))
-    assert spec.pools and (spec.table.routes or spec.radius.routes)
+    assert spec.pools and (spec.table.routes or spec.beside["radius"].routes)
--- a/tests/test_radius.py
+++ b/tests/test_radius.py
@@ -18,6 +18,7 @@
 from pyrad.dictionary import Dictionary
 
 from tests.waiting import LIMIT, until
+from whinpier import tables
 from whinpier.config import operator
 from whinpier.decay import SECOND
 from whinpier.radius import keys
@@ -454,6 +455,6 @@
     file.write_bytes(b"s3cret\n")
     file.chmod(0o644)
     with pytest.raises(ConfigFault, match="may be read by others"):
-        operator.kept_secret(str(file), "at")
+        tables.kept_secret(str(file), "at")
     file.chmod(0o600)
-    assert operator.kept_secret(str(file), "at") == b"s3cret"
+    assert tables.kept_secret(str(file), "at") == b"s3cret"
--- a/whinpier/__main__.py
+++ b/whinpier/__main__.py
@@ -55,8 +55,8 @@
     datagrams: list[socket.socket] = []
     try:
         asked = [(streams, socket.SOCK_STREAM, address) for address in spec.listen]
-        if spec.radius:
-            asked += [(datagrams, socket.SOCK_DGRAM, address) for address in spec.radius.listen]
+        asked += [(datagrams, socket.SOCK_DGRAM, address) for beside in spec.beside.values()
+                  for address in beside.listen]
         for sockets, kind, address in asked:
             try:
                 sockets.append(bound(kind, address))
@@ -64,7 +64,7 @@
                 log.warn("cannot_listen", address="%s:%d" % address, fault=fault)
                 return 1
         wire = Http1()
-        if spec.radius:
+        if spec.beside:
             from whinpier.radius.wire import WithRadius  # only where a file has it
             wire = WithRadius(datagrams)
         anyio.run(run, streams, Life(spec, wire, reread, changed))
--- a/whinpier/config/operator.py
+++ b/whinpier/config/operator.py
@@ -6,47 +6,27 @@
 
 from __future__ import annotations
 
-import difflib
 import re
 import tomllib
 from collections.abc import Callable, Iterable
 from dataclasses import fields as fields_of
-from ipaddress import IPv4Network
 from random import SystemRandom
-from typing import TYPE_CHECKING, Annotated, Any, Literal, TypeVar, get_args, get_origin
+from typing import Annotated, Any, Literal
 
-import msgspec
 from msgspec import Meta, Struct
 
 from whinpier import model
-from whinpier.config.platform import contents
-from whinpier.decay import SECOND
+from whinpier.files import contents
 from whinpier.routing.table import Route, RouteFault, Table
 from whinpier.runtime.budget import DOOR, MOST_DOOR, spare
-from whinpier.spec import (KEPT_TILL_RESTART, ConfigFault, Entry, Fields, Limits, PoolSpec, Spec, address,
-                           differs)
+from whinpier.spec import (KEPT_TILL_RESTART, Beside, ConfigFault, Entry, Fields, Limits, PoolSpec, Spec,
+                           address, differs)
+from whinpier.tables import UNITS, Amount, Count, Duration, Part, Strict, Whole, duration, named, part
 
-if TYPE_CHECKING:
-    from whinpier.radius.spec import RadiusSpec, ServerSpec
-
-SECRET = 4096  # bytes of a secret with what stands round it
 MOST_POOLS, MOST_ROUTES = 256, 20_000  # what is still checked within a second or two
 LEAST = 16  # connections for each pool: with fewer nothing can be held apart
-NAME = re.compile(r"[a-z0-9][a-z0-9_-]{0,62}\Z")
-DURATION = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,9})?)(us|ms|s|m|h)\Z")
-UNITS = {"us": 1_000, "ms": 1_000_000, "s": SECOND, "m": 60 * SECOND, "h": 3600 * SECOND}
 TOKEN = re.compile(r"[-!#$%&'*+.^_`|~0-9a-z]+\Z")  # a header's name, in lower case
 
-Whole = Annotated[int, Meta(ge=0, le=2**40)]
-Count = Annotated[int, Meta(ge=1, le=2**31)]
-Part = Annotated[float, Meta(ge=0.0, le=1.0)]
-Amount = Annotated[float, Meta(ge=0.0, le=1e12)]
-Duration = str
-
-
-class Strict(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """A table of the file: a key that it does not have is a fault."""
-
 
 class Says(Strict, frozen=True):
     """Which headers say what; an empty name: none does."""
@@ -96,58 +76,12 @@
     bodies_kb: Count | None = None
 
 
-class ServersTable(Strict, frozen=True):
-    """How the RADIUS servers of a pool are spoken to."""
-
-    secret: str = ""
-    secret_file: str = ""
-    sign: bool = True
-    signed: bool = False
-    retransmit: Duration = "500ms"
-    retransmissions: Annotated[int, Meta(ge=0, le=10)] = 3
-    sockets: Annotated[int, Meta(ge=1, le=64)] = 4
-    quarantine: Duration = "10s"
-
-
-class ClientTable(Strict, frozen=True):
-    """Who may send RADIUS packets."""
-
-    networks: list[str]
-    secrets: list[str] = []
-    secret_files: list[str] = []
-    signed: bool = True
-    most: Count = 2_000
-
-
-class RecordRouteTable(Strict, frozen=True):
-    """Which records go where."""
-
-    name: str
-    pool: str
-    workload: str = ""
-    realm: str = ""
-    statuses: list[Literal["start", "stop", "interim", "on", "off"]] = []
-    client: str = ""
-    nas: str = ""
-
-
-class RadiusTable(Strict, frozen=True):
-    """The RADIUS side."""
-
-    listen: list[str]
-    clients: dict[str, Any]
-    routes: list[Any]
-    kept: Duration = "30s"
-    most: Annotated[int, Meta(ge=256, le=4_000_000)] = 65_536
-    records: bool = True
-
-
 class PoolTable(Strict, frozen=True):
     """One pool."""
 
     workloads: dict[str, Any]
     protocol: Literal["http", "radius"] = "http"
-    radius: ServersTable | None = None
+    radius: Any = None
     upstreams: list[Any] | None = None
     discovery: str | None = None
     limits: LimitsTable = LimitsTable()
@@ -210,71 +144,6 @@
     process: ProcessTable = ProcessTable()
 
 
-T = TypeVar("T", bound=Strict)
-
-
-def part(value: Any, kind: type[T], at: str) -> T:
-    """One table of the file, with its place in what is said about a fault."""
-    try:
-        return msgspec.convert(value, kind)
-    except msgspec.ValidationError as fault:
-        what, _, inner = str(fault).partition(" - at `$")
-        path = inner.rstrip("`")
-        key = (at + path if at else path.lstrip(".")) or "file"
-        if unknown := re.search(r"unknown field `(.*)`", what):
-            allowed = [field.encode_name for field in msgspec.structs.fields(type_at(kind, path))]
-            near = difflib.get_close_matches(unknown[1], allowed, 1)
-            hint = f" (meant: {near[0]})" if near else ""
-            joined = f"{key}.{unknown[1]}" if key != "file" else unknown[1]
-            raise ConfigFault(f"{joined}: is no key here{hint}; allowed: {', '.join(allowed)}") from None
-        if missing := re.search(r"missing required field `(.*)`", what):
-            joined = f"{key}.{missing[1]}" if key != "file" else missing[1]
-            raise ConfigFault(f"{joined}: is missing") from None
-        if wrong := re.search(r"[Ii]nvalid enum value (.*)", what):
-            allowed = literals(type_at(kind, path))
-            raise ConfigFault(f"{key}: {wrong[1]} is none of {', '.join(allowed)}") from None
-        raise ConfigFault(f"{key}: {what[:1].lower()}{what[1:]}") from None
-
-
-def type_at(kind: Any, path: str) -> Any:
-    """The type that a path such as `.limits.tasks` or `.streams[0]` leads to."""
-    for step in re.findall(r"\.(\w+)", path):
-        kind = next(field.type for field in msgspec.structs.fields(bare(kind)) if field.encode_name == step)
-    return bare(kind)
-
-
-def bare(kind: Any) -> Any:
-    """What a list, a table of anything or a type that may be none holds."""
-    while get_origin(kind) not in (None, Literal):
-        inner = [one for one in get_args(kind) if one is not type(None)]
-        kind = inner[-1] if get_origin(kind) is dict else inner[0]
-    return kind
-
-
-def literals(kind: Any) -> list[str]:
-    """The values that a type allows, wherever in it they are named."""
-    if get_origin(kind) is Literal:
-        return [str(value) for value in get_args(kind)]
-    return [value for inner in get_args(kind) for value in literals(inner)]
-
-
-def duration(text: str, at: str, least: int = 0) -> int:
-    """Nanoseconds of `250ms`, `1.5s`, `2m`. Raises ConfigFault below `least`."""
-    found = DURATION.match(text)
-    if not found:
-        raise ConfigFault(f"{at}: {text!r} is no duration such as 250ms, 1.5s or 2m")
-    span = int(float(found[1]) * UNITS[found[2]])
-    if not least <= span <= 24 * UNITS["h"]:
-        raise ConfigFault(f"{at}: {text!r} is not between {least / UNITS['ms']:g}ms and 24h")
-    return span
-
-
-def named(name: str, at: str) -> str:
-    if not NAME.match(name):
-        raise ConfigFault(f"{at}: {name!r} is no name: small letters, digits, - and _, 63 at most")
-    return name
-
-
 def header(name: str, at: str) -> str:
     if name and not TOKEN.match(name):
         raise ConfigFault(f"{at}: {name!r} is no header's name in lower case")
@@ -359,92 +228,24 @@
         passed_on=frozenset(table.statuses), protocol=table.protocol, server=servers(table, at))
 
 
-def servers(table: PoolTable, at: str) -> ServerSpec | None:
-    """How a pool's RADIUS servers are spoken to; None of a pool that speaks HTTP."""
+def servers(table: PoolTable, at: str) -> object:
+    """How a pool's servers are spoken to, by its protocol; None of a pool that speaks HTTP."""
     if (table.protocol == "radius") != (table.radius is not None):
         raise ConfigFault(f"{at}.radius: belongs to protocol = \"radius\", and such a pool needs it")
     if table.radius is None:
         return None
-    from whinpier.radius.spec import ServerSpec
+    from whinpier.radius import tables
 
-    given, here = table.radius, f"{at}.radius"
-    if bool(given.secret) == bool(given.secret_file):
-        raise ConfigFault(f"{here}: either secret or secret_file")
-    secret = given.secret.encode() if given.secret else kept_secret(given.secret_file, f"{here}.secret_file")
-    return ServerSpec(secret, given.sign, given.signed,
-                      duration(given.retransmit, f"{here}.retransmit", 10 * UNITS["ms"]),
-                      given.retransmissions, given.sockets, duration(given.quarantine, f"{here}.quarantine"))
+    return tables.servers(table.radius, f"{at}.radius")
 
 
-def kept_secret(path: str, at: str) -> bytes:
-    """A secret from a file that only its owner may read."""
-    try:
-        secret = contents(path, SECRET, private=True).strip()
-    except OSError as fault:
-        raise ConfigFault(f"{at}: {fault}") from None
-    except ValueError as fault:
-        raise ConfigFault(f"{at}: {path} {fault}") from None
-    if not secret:
-        raise ConfigFault(f"{at}: {path} is empty")
-    return secret
-
-
-def radius(value: Any, pools: dict[str, PoolSpec]) -> RadiusSpec:
-    """The RADIUS side of the process."""
-    from whinpier.radius.packet import STATUSES
-    from whinpier.radius.spec import ClientSpec, RadiusSpec, RouteSpec
-
-    table = part(value, RadiusTable, "radius")
-    listen = [address(text, f"radius.listen[{index}]") for index, text in enumerate(table.listen)]
-    if not listen or len(set(listen)) < len(listen):
-        raise ConfigFault("radius.listen: names no address, or one twice")
-    clients, taken = list[ClientSpec](), dict[IPv4Network, str]()
-    for name, inner in table.clients.items():
-        at = f"radius.clients.{named(name, 'radius.clients')}"
-        client = part(inner, ClientTable, at)
-        networks = list[IPv4Network]()
-        for text in client.networks:
-            try:
-                network = IPv4Network(text)
-            except ValueError as fault:
-                raise ConfigFault(f"{at}.networks: {text!r}: {fault}") from None
-            if network in taken:
-                raise ConfigFault(f"{at}.networks: {text} is {taken[network]}'s")
-            taken[network] = name
-            networks.append(network)
-        secrets = [secret.encode() for secret in client.secrets]
-        secrets += [kept_secret(path, f"{at}.secret_files") for path in client.secret_files]
-        if not networks or not secrets or not all(secrets) or len(secrets) > 4:
-            raise ConfigFault(f"{at}: needs networks, and one to four secrets that are not empty")
-        clients.append(ClientSpec(name, tuple(networks), tuple(secrets), client.signed, client.most))
-    if not clients:
-        raise ConfigFault("radius.clients: none is named")
-    numbers = {text: number for number, text in STATUSES.items()}
-    routes = list[RouteSpec]()
-    for index, inner in enumerate(table.routes):
-        one = part(inner, RecordRouteTable, f"radius.routes[{index}]")
-        at = f"radius.routes.{named(one.name, f'radius.routes[{index}].name')}"
-        spec = pools.get(one.pool)
-        if spec is None or spec.protocol != "radius":
-            raise ConfigFault(f"{at}.pool: {one.pool!r} is no pool that speaks RADIUS")
-        kinds = [workload.name for workload in spec.workloads]
-        name = one.workload or (kinds[0] if len(kinds) == 1 else "")
-        if name not in kinds:
-            raise ConfigFault(f"{at}.workload: {name!r} is none of {', '.join(kinds)}")
-        if one.client and one.client not in table.clients:
-            raise ConfigFault(f"{at}.client: {one.client!r} is none of {', '.join(table.clients)}")
-        found = RouteSpec(one.name, one.pool, name, one.realm.lower(),
-                          frozenset(numbers[text] for text in one.statuses), one.client, one.nas)
-        for other in routes:
-            same = (found.realm, found.client, found.nas) == (other.realm, other.client, other.nas)
-            both = found.statuses & other.statuses or found.statuses == other.statuses
-            if other.name == found.name or same and both:
-                raise ConfigFault(f"{at}: takes the same records as {other.name}, or has its name")
-        routes.append(found)
-    if not routes:
-        raise ConfigFault("radius.routes: none is named")
-    return RadiusSpec(tuple(listen), tuple(clients), tuple(sorted(routes, key=RouteSpec.rank)),
-                      duration(table.kept, "radius.kept", UNITS["s"]), table.most, table.records)
+def beside(table: FileTable, pools: dict[str, PoolSpec]) -> dict[str, Beside]:
+    """The protocols beside HTTP that the file has clients for."""
+    if table.radius is None:
+        return {}
+    from whinpier.radius import tables
+
+    return {"radius": tables.front(table.radius, pools)}
 
 
 class To(Struct, frozen=True):
@@ -524,9 +325,8 @@
     for one in routes:
         if pools[one.to.pool].protocol != "http":
             raise ConfigFault(f"routes.{one.name}.pool: {one.to.pool!r} speaks {pools[one.to.pool].protocol}")
-    records = radius(table.radius, pools) if table.radius is not None else None
     spec = Spec(table.name, listen, seed, table.process.descriptors, table.process.memory_mb << 20, pools,
-                compiled, records, table.up.encode(), table.process.isolate)
+                compiled, beside(table, pools), table.up.encode(), table.process.isolate)
     check_room(spec)
     return spec
 
@@ -560,8 +360,10 @@
 def changes(old: Spec, new: Spec) -> Iterable[str]:
     """Which keys of the process differ and wait for a restart. A seed that is not given is no change."""
     found = [key for key in KEPT_TILL_RESTART if key != "seed" and getattr(old, key) != getattr(new, key)]
-    addresses = [spec.radius.listen if spec.radius else () for spec in (old, new)]
-    return found + ["radius.listen"] * (addresses[0] != addresses[1])
+    names = sorted(old.beside.keys() | new.beside.keys())
+    listen = {name: [spec.beside[name].listen if name in spec.beside else () for spec in (old, new)]
+              for name in names}
+    return found + [f"{name}.listen" for name, (before, after) in listen.items() if before != after]
 
 
 def differences(old: Spec, new: Spec) -> list[str]:
--- a/whinpier/config/platform.py
+++ b/whinpier/config/platform.py
@@ -8,19 +8,16 @@
 from __future__ import annotations
 
 import json
-import os
-import stat
 from collections.abc import Iterator, Mapping
 from dataclasses import fields
 from math import isfinite
 from typing import Any
 
 from whinpier import settings as common
+from whinpier.files import contents
 from whinpier.model import WireError, Workload
 from whinpier.spec import PLATFORM, ConfigFault, PoolSpec, Spec, address, entries
 
-LARGEST = 8 * 1024 * 1024  # of the file: a list of thousands of upstreams and the settings are a tenth of it
-
 
 def flat(value: Any, at: str = "") -> Iterator[tuple[str, Any]]:
     """Nested settings as path and plain value, in the form of the simulator's first message."""
@@ -76,25 +73,6 @@
         raise ConfigFault(f"settings: {fault}") from None
 
 
-def contents(path: str, largest: int = LARGEST, private: bool = False) -> bytes:
-    """What a file holds. Guards against one that never ends, or keeps whoever opens it waiting.
-
-    Raises OSError, and ValueError for one that is none, is larger, or, if it is to be `private`, may be read
-    by others than its owner.
-    """
-    file = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
-    with open(file, "rb") as opened:
-        mode = os.fstat(file).st_mode
-        if not stat.S_ISREG(mode):
-            raise ValueError("is no plain file")
-        if private and mode & 0o077:
-            raise ValueError(f"may be read by others (mode {stat.S_IMODE(mode):o}, not 600)")
-        text = opened.read(largest + 1)
-    if len(text) > largest:
-        raise ValueError(f"is larger than {largest} bytes")
-    return text
-
-
 def read(environment: Mapping[str, str]) -> Spec:
     """The configuration; the environment says what the file does not.
 
--- a/whinpier/radius/back.py
+++ b/whinpier/radius/back.py
@@ -173,7 +173,7 @@
         self.release(sent, False)
 
     def configured(self) -> None:
-        if self.pool.spec.server:
+        if isinstance(self.pool.spec.server, ServerSpec):
             self.spec = self.pool.spec.server
 
     def moved(self, dial: Address) -> None:
--- /dev/null
+++ b/whinpier/radius/tables.py
@@ -0,0 +1,125 @@
+"""The tables of an operator's file that are about RADIUS: their keys, checks and defaults."""
+
+from __future__ import annotations
+
+from ipaddress import IPv4Network
+from typing import Annotated, Any, Literal
+
+from msgspec import Meta
+
+from whinpier.radius.packet import STATUSES
+from whinpier.radius.spec import ClientSpec, RadiusSpec, RouteSpec, ServerSpec
+from whinpier.spec import ConfigFault, PoolSpec, address
+from whinpier.tables import UNITS, Count, Duration, Strict, duration, kept_secret, named, part
+
+
+class ServersTable(Strict, frozen=True):
+    """How the RADIUS servers of a pool are spoken to."""
+
+    secret: str = ""
+    secret_file: str = ""
+    sign: bool = True
+    signed: bool = False
+    retransmit: Duration = "500ms"
+    retransmissions: Annotated[int, Meta(ge=0, le=10)] = 3
+    sockets: Annotated[int, Meta(ge=1, le=64)] = 4
+    quarantine: Duration = "10s"
+
+
+class ClientTable(Strict, frozen=True):
+    """Who may send RADIUS packets."""
+
+    networks: list[str]
+    secrets: list[str] = []
+    secret_files: list[str] = []
+    signed: bool = True
+    most: Count = 2_000
+
+
+class RecordRouteTable(Strict, frozen=True):
+    """Which records go where."""
+
+    name: str
+    pool: str
+    workload: str = ""
+    realm: str = ""
+    statuses: list[Literal["start", "stop", "interim", "on", "off"]] = []
+    client: str = ""
+    nas: str = ""
+
+
+class RadiusTable(Strict, frozen=True):
+    """The RADIUS side."""
+
+    listen: list[str]
+    clients: dict[str, Any]
+    routes: list[Any]
+    kept: Duration = "30s"
+    most: Annotated[int, Meta(ge=256, le=4_000_000)] = 65_536
+    records: bool = True
+
+
+def servers(value: Any, at: str) -> ServerSpec:
+    """How a pool's servers are spoken to."""
+    given = part(value, ServersTable, at)
+    if bool(given.secret) == bool(given.secret_file):
+        raise ConfigFault(f"{at}: either secret or secret_file")
+    secret = given.secret.encode() if given.secret else kept_secret(given.secret_file, f"{at}.secret_file")
+    return ServerSpec(secret, given.sign, given.signed,
+                      duration(given.retransmit, f"{at}.retransmit", 10 * UNITS["ms"]),
+                      given.retransmissions, given.sockets, duration(given.quarantine, f"{at}.quarantine"))
+
+
+def front(value: Any, pools: dict[str, PoolSpec]) -> RadiusSpec:
+    """The RADIUS side of the process."""
+    table = part(value, RadiusTable, "radius")
+    listen = [address(text, f"radius.listen[{index}]") for index, text in enumerate(table.listen)]
+    if not listen or len(set(listen)) < len(listen):
+        raise ConfigFault("radius.listen: names no address, or one twice")
+    clients, taken = list[ClientSpec](), dict[IPv4Network, str]()
+    for name, inner in table.clients.items():
+        at = f"radius.clients.{named(name, 'radius.clients')}"
+        client = part(inner, ClientTable, at)
+        networks = list[IPv4Network]()
+        for text in client.networks:
+            try:
+                network = IPv4Network(text)
+            except ValueError as fault:
+                raise ConfigFault(f"{at}.networks: {text!r}: {fault}") from None
+            if network in taken:
+                raise ConfigFault(f"{at}.networks: {text} is {taken[network]}'s")
+            taken[network] = name
+            networks.append(network)
+        secrets = [secret.encode() for secret in client.secrets]
+        secrets += [kept_secret(path, f"{at}.secret_files") for path in client.secret_files]
+        if not networks or not secrets or not all(secrets) or len(secrets) > 4:
+            raise ConfigFault(f"{at}: needs networks, and one to four secrets that are not empty")
+        clients.append(ClientSpec(name, tuple(networks), tuple(secrets), client.signed, client.most))
+    if not clients:
+        raise ConfigFault("radius.clients: none is named")
+    numbers = {text: number for number, text in STATUSES.items()}
+    routes = list[RouteSpec]()
+    for index, inner in enumerate(table.routes):
+        one = part(inner, RecordRouteTable, f"radius.routes[{index}]")
+        at = f"radius.routes.{named(one.name, f'radius.routes[{index}].name')}"
+        spec = pools.get(one.pool)
+        if spec is None or spec.protocol != "radius":
+            raise ConfigFault(f"{at}.pool: {one.pool!r} is no pool that speaks RADIUS")
+        kinds = [workload.name for workload in spec.workloads]
+        name = one.workload or (kinds[0] if len(kinds) == 1 else "")
+        if name not in kinds:
+            raise ConfigFault(f"{at}.workload: {name!r} is none of {', '.join(kinds)}")
+        if one.client and one.client not in table.clients:
+            raise ConfigFault(f"{at}.client: {one.client!r} is none of {', '.join(table.clients)}")
+        found = RouteSpec(one.name, one.pool, name, one.realm.lower(),
+                          frozenset(numbers[text] for text in one.statuses), one.client, one.nas)
+        for other in routes:
+            same = (found.realm, found.client, found.nas) == (other.realm, other.client, other.nas)
+            both = found.statuses & other.statuses or found.statuses == other.statuses
+            if other.name == found.name or same and both:
+                raise ConfigFault(f"{at}: takes the same records as {other.name}, or has its name")
+        routes.append(found)
+    if not routes:
+        raise ConfigFault("radius.routes: none is named")
+    return RadiusSpec(tuple(listen), tuple(clients), tuple(sorted(routes, key=RouteSpec.rank)),
+                      duration(table.kept, "radius.kept", UNITS["s"]), table.most, table.records)
--- a/whinpier/radius/wire.py
+++ b/whinpier/radius/wire.py
@@ -7,7 +7,7 @@
 from whinpier.net.wire import Http1
 from whinpier.radius.back import Server
 from whinpier.radius.front import Front as RadiusFront
-from whinpier.radius.spec import ServerSpec
+from whinpier.radius.spec import RadiusSpec, ServerSpec
 from whinpier.runtime.life import Front, Life
 from whinpier.runtime.pool import Peer, Pool
 from whinpier.spec import Entry
@@ -21,15 +21,21 @@
 
     def fronts(self, life: Life) -> list[Front]:
         found = super().fronts(life)
-        if life.spec.radius:
-            found.append(RadiusFront(life, life.spec.radius, self.sockets))
+        if spec := self.spec(life):
+            found.append(RadiusFront(life, spec, self.sockets))
         return found
 
     def reroute(self, fronts: list[Front], life: Life) -> None:
         super().reroute(fronts, life)
         for front in fronts[1:]:
-            if isinstance(front, RadiusFront) and life.spec.radius:
-                front.follow(life.spec.radius)
+            if isinstance(front, RadiusFront) and (spec := self.spec(life)):
+                front.follow(spec)
+
+    @staticmethod
+    def spec(life: Life) -> RadiusSpec | None:
+        found = life.spec.beside.get("radius")
+        assert found is None or isinstance(found, RadiusSpec)
+        return found
 
     def peer(self, pool: Pool, entry: Entry, number: int) -> Peer:
         if pool.spec.protocol != "radius":
--- a/whinpier/runtime/life.py
+++ b/whinpier/runtime/life.py
@@ -169,10 +169,8 @@
     def as_run(self, new: Spec) -> Spec:
         """A new file as it can be run by: what waits for a restart is as it was."""
         old = self.spec
-        radius = new.radius
-        if (radius is None) != (old.radius is None):
-            radius = old.radius
-        return replace(new, radius=radius, **{key: getattr(old, key) for key in KEPT_TILL_RESTART})
+        beside = {name: new.beside.get(name, kept) for name, kept in old.beside.items()}
+        return replace(new, beside=beside, **{key: getattr(old, key) for key in KEPT_TILL_RESTART})
 
     def apply(self, new: Spec) -> None:
         """Pools and routes as the new file has them, in one step between two events of the loop."""
--- a/whinpier/spec.py
+++ b/whinpier/spec.py
@@ -5,12 +5,11 @@
 from dataclasses import dataclass, field, fields
 from ipaddress import AddressValueError, IPv4Address
 from math import isfinite
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from whinpier.model import DRAINING, GONE, READY, Workload
 
 if TYPE_CHECKING:
-    from whinpier.radius.spec import RadiusSpec, ServerSpec
     from whinpier.routing.table import Table
 
 Address = tuple[str, int]
@@ -87,7 +86,7 @@
     limits: Limits = Limits()
     passed_on: frozenset[int] = frozenset((200,))  # statuses that are an answer, not an error
     protocol: str = "http"
-    server: ServerSpec | None = None  # how RADIUS servers are spoken to
+    server: object = None  # how its servers are spoken to, where its protocol has more to say
 
 
 def differs(old: PoolSpec, new: PoolSpec) -> list[str]:
@@ -99,6 +98,14 @@
     return found + ["workloads"] * (told[0] != told[1])
 
 
+class Beside(Protocol):
+    """What a protocol beside HTTP is configured by; only that protocol knows more of it."""
+
+    @property
+    def listen(self) -> tuple[Address, ...]:
+        """Where its clients send datagrams."""
+
+
 @dataclass(frozen=True)
 class Spec:
     """The process."""
@@ -110,7 +117,7 @@
     memory: int  # bytes
     pools: dict[str, PoolSpec]
     table: Table | None = None  # of the operator's routes; None on the platform
-    radius: RadiusSpec | None = None
+    beside: dict[str, Beside] = field(default_factory=dict)  # by the protocol's name
     up: bytes = b"/up"  # where a front asks whether this balancer is ready
     isolate: bool = True  # whether pools have guaranteed parts
 
