--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,6 +10,7 @@
 from whinpier.cli.shown import show
 from whinpier.lab.clock import SECOND, Clock
 from whinpier.lab.experiment import KINDS, checked, encoded, put, read, runs, shipped
+from whinpier.lab.ground import Network
 from whinpier.lab.results import Results, compare, interval, run_all
 from whinpier.lab.shrink import failing, shrink, toml
 from whinpier.lab.theory import erlang_c, mean_time
@@ -53,7 +54,7 @@
 
 
 @pytest.mark.parametrize("name", ["choice", "random", "round_robin", "least_out", "two_choices", "join_idle",
-                                  "oracle"])
+                                  "oracle", "late_oracle"])
 def test_every_policy_keeps_the_rules_on_answers_and_effects(name):
     troubles = [{"kind": "fail", "at": 1.5, "span": 1.0, "share": 0.5}, {"kind": "restart", "at": 2.0},
                 {"kind": "hang", "at": 3.0, "span": 1.0, "share": 0.5}]
@@ -101,6 +102,7 @@
     ("streams[0].knd", "exclusive", "streams[0].knd: is no key here (meant: kind); allowed: name, rate"),
     ("fleet.machines[0].cors", 2, "fleet.machines[0].cors: is no key here (meant: cores)"),
     ("troubles", [{"kind": "slow", "att": 1.0}], "troubles[0].att: is no key here (meant: at)"),
+    ("front", {"zones": [1.0, 2.0]}, "front.zones: names 2 of 1 zones"),
     ("warm", 6.0, "warm: leaves nothing"), ("name", "A b", "name: "), ("seeds", 0, "seeds: "),
 ])
 def test_a_faulty_experiment_is_named_by_its_key(path, value, said):
@@ -121,6 +123,58 @@
             list(runs(given(vary={path: [1.0]})))
 
 
+def bank(*troubles, **more):
+    """Ten balancers before twelve upstreams in two zones that start cold."""
+    machines = [{"count": 12, "cores": 2, "queue": 16, "warm_up": 3.0}]
+    fleet = {"balancers": 10, "zones": 2, "machines": machines}
+    return play(given(fleet=fleet, troubles=list(troubles), **more))
+
+
+def test_balancers_that_are_killed_lose_what_they_had_and_the_front_finds_the_others():
+    found = bank({"kind": "killed", "at": 2.0, "span": 1.0, "share": 0.7})
+    assert found["holds"], found["why"]
+    lost, asked = found["fleet"]["lost_with_a_balancer"], sum(found["by_second"]["asked"])
+    unanswered = asked - sum(sum(found["by_second"][how]) for how in ("fulfilled", "turned_back", "scrapped"))
+    assert 0 < unanswered <= lost < 30 and found["fleet"]["refused_by_the_dead"] > 0
+    assert sum(found["by_second"]["on_time"][4:6]) > 0.9 * sum(found["by_second"]["asked"][4:6])
+
+
+def test_a_rolling_restart_loses_nothing_and_a_list_that_moves_is_taken_up():
+    found = bank({"kind": "rolling", "at": 1.0, "span": 8.0}, {"kind": "moved_list", "at": 1.5, "span": 1.0},
+                 seconds=14.0)
+    assert found["holds"] and "lost_with_a_balancer" not in found["fleet"], found["why"]
+    assert found["on_time"] > 0.95
+
+
+def test_a_fleet_that_is_replaced_by_new_names_gets_nothing_new_at_the_old_ones():
+    found = bank({"kind": "replace", "at": 1.5, "span": 2.0, "share": 0.6}, seconds=8.0)
+    assert found["holds"], found["why"]
+    new = [name for name in found["servers"] if int(name.partition("-")[2]) >= 12]
+    assert len(new) == 7 and all(found["servers"][name] > 0 for name in new)
+
+
+def test_answers_that_never_come_and_resets_under_requests_run_nothing_twice_and_clients_may_leave():
+    found = bank({"kind": "silent_answers", "at": 1.0, "span": 4.0, "amount": 0.1},
+                 {"kind": "resets", "at": 1.0, "span": 4.0, "amount": 0.1},
+                 {"kind": "leavers", "at": 1.0, "span": 4.0, "amount": 0.3},
+                 {"kind": "eager", "at": 1.0, "span": 4.0}, {"kind": "late_list", "at": 1.0, "span": 4.0},
+                 streams=[{"name": name, "kind": kind, "rate": 60.0, "work": 0.03, "patience": 1.0}
+                          for name, kind in (("charge", "exclusive"), ("settle", "ticketed"))])
+    assert found["holds"], found["why"]
+    assert found["streams"]["charge"]["scrapped"] > 5 < found["streams"]["settle"]["tries"]
+
+
+def test_a_zone_that_is_cut_off_is_reached_from_within_and_the_front_follows_who_asks():
+    found = bank({"kind": "cut_zone", "at": 2.0, "span": 1.5, "zone": 1},
+                 {"kind": "shift", "at": 2.0, "span": 2.0, "zone": 1, "amount": 5.0},
+                 front={"busy": 0.2, "times": 4.0, "zones": [1.0, 1.0]})
+    assert found["holds"] and found["on_time"] > 0.5, found["why"]
+    network = Network(1, 0.001, 0.002)
+    network.apart[1] += 1
+    assert network.cut(0, 0, "s-1", 1) and network.cut(0, 1, "s-0", 0) and not network.cut(0, 1, "s-1", 1)
+    assert (network.way(0, 0), network.way(0, 1)) == (1_000_000, 3_000_000)
+
+
 def test_a_fault_in_what_varies_is_one_line_with_file_key_and_what_is_allowed(tmp_path):
     file = tmp_path / "e.toml"
     varied = {"troubles": [[], [{"kind": "slow", "att": 1.0}]]}
--- a/whinpier/lab/balancers.py
+++ b/whinpier/lab/balancers.py
@@ -7,30 +7,28 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from itertools import count as numbers
 from typing import TYPE_CHECKING, Any
 
 from whinpier.decay import Sum
-from whinpier.lab.clock import SECOND, Clock
+from whinpier.lab.clock import Clock
 from whinpier.lab.servers import CONNECTING, Server
-from whinpier.model import FULL, NO_CONNECTION, Workload
+from whinpier.model import FULL, NO_CONNECTION, RESET, Workload
 from whinpier.runtime.budget import Budget
 from whinpier.runtime.loop import Loop
 from whinpier.runtime.pool import Peer, Pool, Sent, Taken, Watch
-from whinpier.spec import Address, Entry, PoolSpec
+from whinpier.spec import Address, Entry
 
 if TYPE_CHECKING:
-    from whinpier.lab.world import World
-
-LOST = SECOND // 5  # after which a lost packet is sent again
+    from whinpier.lab.ground import Ground
 
 
 class SimLoop(Loop):
-    """The loop of one balancer, on the clock of the run."""
+    """The loop of one balancer's process, on the clock of the run."""
 
     def __init__(self, clock: Clock) -> None:  # without what waits on a real loop
-        self.sim, self.now = clock, clock.now
+        self.sim, self.now, self.dead = clock, clock.now, False
         self.next_id = numbers(1).__next__
         self.todo: deque[tuple[Any, Callable[..., None], tuple[Any, ...]]] = deque()
         self.inside, self.late, self.lag = False, 0, 0
@@ -41,9 +39,22 @@
     def at(self, at: int, host: Any, call: Callable[..., None], *args: Any) -> None:
         self.sim.at(at, self.enter, host, call, *args)
 
-    def faulty(self, call: Callable[..., None]) -> None:
-        """A fault ends the run: here it is to be found."""
-        raise
+    def enter(self, host: Any, call: Callable[..., None], *args: Any) -> None:
+        """As the real one, without its guards: a fault ends the run, and a process that died does nothing."""
+        if self.dead:
+            return
+        todo = self.todo
+        todo.append((host, call, args))
+        if self.inside:
+            return
+        self.inside = True
+        try:
+            while todo:
+                host, call, args = todo.popleft()
+                host.now = self.sim.now
+                call(*args)
+        finally:
+            self.inside = False
 
     def margin(self) -> int:
         return 0
@@ -52,7 +63,7 @@
 class Asked(Taken):
     """A task of a model client."""
 
-    __slots__ = ("answered", "due", "work", "stream", "tries", "origin", "balancer")
+    __slots__ = ("answered", "due", "work", "stream", "tries", "origin", "balancer", "gone")
     balancer: Balancer
 
     def __init__(self, number: int, workload: Workload, came: int, ends: int) -> None:
@@ -61,9 +72,10 @@
         self.answered: Callable[[Asked, str, int], None]
         self.due, self.work, self.tries, self.origin = came, 0.0, 0, number
         self.stream: Any = None
+        self.gone = False  # its client has left
 
     def waited_for(self) -> bool:
-        return True
+        return not self.gone
 
     def fulfilled(self, answer: Any) -> None:
         self.answered(self, "fulfilled", 0)
@@ -78,9 +90,9 @@
 class Attempt(Sent):
     """A hand-off on its way to a model upstream and back."""
 
-    def __init__(self, task: Asked, peer: Link, now: int, world: World, fresh: bool) -> None:
+    def __init__(self, task: Asked, peer: Link, now: int, fresh: bool) -> None:
         super().__init__(task, peer, now)
-        self.asked, self.link, self.world = task, peer, world
+        self.asked, self.link = task, peer
         self.work, self.fresh, self.fails, self.dropped, self.told = task.work, fresh, "", False, False
 
     def __hash__(self) -> int:
@@ -88,64 +100,76 @@
 
     def ran(self, server: Server) -> None:
         """It has come whole and was not turned away: from now on it counts as run."""
-        self.world.referee.ran(self, server)
+        self.link.ground.referee.ran(self, server)
 
     def back(self, outcome: str) -> None:
         """The upstream's side is over; its sender hears of it after the way back."""
         if not self.told:
             self.told = True
-            self.world.clock.after(self.link.way(), self.link.heard, self, outcome)
+            link, network = self.link, self.link.ground.network
+            if network.silent and network.drops(network.silent):
+                return  # nothing says so: its sender waits
+            link.ground.clock.after(link.way(), link.heard, self, outcome)
 
 
 class Link(Peer):
-    """What one balancer has towards one upstream."""
+    """What one process of a balancer has towards one upstream."""
 
     def __init__(self, pool: Pool, entry: Entry, number: int, balancer: Balancer, server: Server) -> None:
         super().__init__(number, entry.state, 0, 0, entry.started)
         self.pool, self.host, self.address = pool, entry.host, entry.dial
-        self.balancer, self.server, self.world = balancer, server, balancer.world
+        self.balancer, self.server, self.ground = balancer, server, balancer.ground
         self.run = server.run
         self.attempts: dict[Attempt, None] = {}
         self.idle = 0  # connections
 
     def way(self) -> int:
-        """Nanoseconds one way, with what the network does to it just now."""
-        fleet = self.world.experiment.fleet
-        span = fleet.network + (fleet.far if self.server.zone != self.balancer.zone else 0.0)
-        lost, late = self.world.loss, 0
-        while lost and self.world.chance.random() < lost and late < 10 * LOST:
-            late += LOST
-        return int(span * SECOND) + late
+        return self.ground.network.way(self.balancer.zone, self.server.zone)
+
+    def cut(self) -> bool:
+        """Whether balancer and upstream do not reach each other."""
+        network, here, there = self.ground.network, self.balancer, self.server
+        troubled = bool(network.apart or network.cuts)
+        return troubled and network.cut(here.number, here.zone, there.name, there.zone)
 
     def hand(self, task: Taken) -> Sent:
         assert isinstance(task, Asked)
-        fresh = self.idle == 0
-        attempt = Attempt(task, self, self.pool.now, self.world, fresh)
+        fresh, server, ground = self.idle == 0, self.server, self.ground
+        attempt = Attempt(task, self, self.pool.now, fresh)
         task.hand_offs.append(attempt)
         self.attempts[attempt] = None
-        self.world.referee.sent(attempt, self.balancer, self.server)
+        self.balancer.out += 1
+        ground.referee.sent(attempt, self.balancer, server)
         self.idle = max(0, self.idle - 1)
-        clock, way = self.world.clock, self.way()
-        if self.world.cut(self.balancer, self.server) or not self.server.reachable:
+        clock, way = ground.clock, self.way()
+        if not server.reachable or self.cut():
             # Nothing comes up; on a connection that is open nothing comes back.
             if fresh:
                 clock.after(CONNECTING, self.heard, attempt, NO_CONNECTION)
             return attempt
         if fresh:
-            if self.server.connections >= self.server.machine.connections:
+            if server.connections >= server.machine.connections:
+                ground.counts["no_room_for_connections"] += 1
                 clock.after(2 * way, self.heard, attempt, NO_CONNECTION)
                 return attempt
-            self.server.connections += 1
+            ground.counts["handshakes"] += 1
+            server.connections += 1
             way *= 3  # its handshake first
-        clock.after(way, self.server.arrive, attempt)
+        if ground.network.resets and ground.network.drops(ground.network.resets):
+            # Written whole, and then reset: it runs, and its sender cannot know.
+            clock.after(way, server.arrive, attempt)
+            clock.after(2 * way, self.heard, attempt, RESET)
+            return attempt
+        clock.after(way, server.arrive, attempt)
         return attempt
 
     def heard(self, attempt: Attempt, outcome: str) -> None:
         """What became of a hand-off has come."""
-        if self.world.cut(self.balancer, self.server) and outcome != NO_CONNECTION:
+        if outcome != NO_CONNECTION and self.cut():
             return
         if attempt in self.attempts:
             del self.attempts[attempt]
+            self.balancer.out -= 1
             if outcome in ("fulfilled", "error", FULL) and not attempt.dropped:
                 self.idle += 1
             else:
@@ -156,8 +180,9 @@
     def stop(self, sent: Sent) -> None:
         assert isinstance(sent, Attempt)
         if self.attempts.pop(sent, self) is None:
+            self.balancer.out -= 1
             self.server.connections = max(0, self.server.connections - 1)
-        self.world.clock.after(self.way(), self.server.give_up, sent)
+        self.ground.clock.after(self.way(), self.server.give_up, sent)
 
     def close_idle(self) -> None:
         self.server.connections = max(0, self.server.connections - self.idle)
@@ -171,21 +196,52 @@
 
 
 class Balancer:
-    """One balancer of the run."""
+    """One balancer of the run, through all runs of its process."""
 
-    def __init__(self, world: World, number: int, zone: int, spec: PoolSpec, seed: int) -> None:
-        self.world, self.number, self.zone = world, number, zone
-        self.loop: Loop = SimLoop(world.clock)
+    def __init__(self, ground: Ground, number: int, zone: int, servers: Mapping[str, Server],
+                 made: Callable[[Balancer], Pool]) -> None:
+        self.ground, self.number, self.zone, self.servers, self.made = ground, number, zone, servers, made
+        self.told_at: dict[str, tuple[str, int]] = {}  # upstream: what the list last said of it, and when
+        self.stale_until = 0
+        self.up, self.leaving, self.run = True, False, 0
+        self.out = 0  # hand-offs on the wire
+        self.begin()
+
+    def begin(self) -> None:
+        """A process that knows nothing."""
+        self.loop: Loop = SimLoop(self.ground.clock)
         self.budget = Budget(65_536, 1 << 34)
         self.ids: dict[bytes | int, Taken] = {}
         self.counts: Counter[str] = Counter()
-        self.told_at: dict[str, tuple[str, int]] = {}  # upstream: what the list last said of it, and when
-        self.stale_until = 0
-        self.listed: dict[str, Entry] = {}
-        self.pool = Pool(self, spec, seed, self.counts)
+        self.pool = self.made(self)
+
+    def kill(self) -> list[Asked]:
+        """Its process dies at once; the tasks whose clients now hear nothing of it."""
+        assert isinstance(self.loop, SimLoop)
+        self.loop.dead, self.up, self.leaving, self.out = True, False, False, 0
+        lost = [task for task in self.ids.values() if isinstance(task, Asked) and not task.ended]
+        for peer in self.pool.peers():
+            assert isinstance(peer, Link)
+            for attempt in peer.attempts:
+                attempt.settled = True
+                self.ground.clock.after(peer.way(), peer.server.give_up, attempt)
+            peer.server.connections = max(0, peer.server.connections - peer.idle - len(peer.attempts))
+            peer.attempts.clear()
+            peer.idle = 0
+        for task in lost:
+            task.hand_offs.clear()
+        return lost
+
+    def start(self, entries: list[Entry]) -> None:
+        """It is started again, under its name, from nothing but the list."""
+        self.run += 1
+        self.up, self.leaving = True, False
+        self.told_at.clear()
+        self.begin()
+        self.tell(entries, True)
 
     def peer(self, pool: Pool, entry: Entry, number: int) -> Peer:
-        return Link(pool, entry, number, self, self.world.servers[entry.host])
+        return Link(pool, entry, number, self, self.servers[entry.host])
 
     def watch(self, pool: Pool) -> Watch | None:
         return None
@@ -198,7 +254,9 @@
 
     def tell(self, entries: list[Entry], whole: bool) -> None:
         """The list, or a change of it, has come."""
-        now = self.world.clock.now
+        if not self.up:
+            return
+        now = self.ground.clock.now
         if whole:
             self.told_at.clear()
         for entry in entries:
--- a/whinpier/lab/baselines.py
+++ b/whinpier/lab/baselines.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from bisect import bisect
+from collections import deque
+from collections.abc import Callable, Mapping
+from itertools import accumulate
 from typing import TYPE_CHECKING, Any
 
 from whinpier.choice import Choice, Seen, Split
@@ -14,14 +17,14 @@
 from whinpier.model import READY, Task
 
 if TYPE_CHECKING:
-    from whinpier.lab.balancers import Balancer
+    from whinpier.lab.clock import Clock
+    from whinpier.lab.servers import Server
+    from whinpier.runtime.pool import Pool
 
 
 class Plain(Split):
     """Draws without shares or room; `find` is all that differs."""
 
-    balancer: Balancer
-
     def allowed(self, task: Task) -> list[Seen]:
         """Those that the rules let a task go to; none that it was at already."""
         again = self.choice.again
@@ -84,11 +87,12 @@
     """Sees every upstream as it is: the one that would be done first, if that is in time."""
 
     def find(self, task: Task) -> Seen | None:
-        world, work = self.balancer.world, getattr(task, "work", 0.0)
+        work = getattr(task, "work", 0.0)
         best, least = None, float("inf")
         for seen in self.allowed(task):
-            server = world.servers[getattr(seen.upstream, "host")]
-            capacity = server.capacity() if not world.cut(self.balancer, server) else 0.0
+            link: Any = seen.upstream
+            server = link.server
+            capacity = server.capacity() if not link.cut() else 0.0
             if capacity <= 0.0:
                 continue
             # What is ahead of it and fills the cores, then itself on one of them.
@@ -99,21 +103,68 @@
             if wait < least:
                 best, least = seen, wait
         # What would be late it holds or turns back: in a surge a queue of late tasks serves nobody.
-        left = (task.came + task.workload.agreed_time - world.clock.now) / SECOND
+        left = (task.came + task.workload.agreed_time - self.host.now) / SECOND
+        return best if least < max(left, 0.0) else None
+
+
+class LateOracle(Plain):
+    """Sees every upstream as it was a while ago: of three drawn by what they could do, the soonest done."""
+
+    sight: Sight
+
+    def find(self, task: Task) -> Seen | None:
+        allowed, seen_then = self.allowed(task), self.sight.then(self.host.now)
+        work = getattr(task, "work", 0.0)
+        sums = list(accumulate(seen_then.get(getattr(seen.upstream, "host"), NOTHING)[0] for seen in allowed))
+        if not sums or sums[-1] <= 0.0:
+            return None
+        best, least = None, float("inf")
+        for _ in range(3):
+            seen = allowed[min(bisect(sums, self.random() * sums[-1]), len(allowed) - 1)]
+            capacity, backlog, cores = seen_then.get(getattr(seen.upstream, "host"), NOTHING)
+            if capacity > 0.0:
+                # Of what was sent since then it knows its own only.
+                own = seen.out * work
+                wait = max(0.0, backlog + own - work * (cores - 1)) / capacity + work * cores / capacity
+                if wait < least:
+                    best, least = seen, wait
+        left = (task.came + task.workload.agreed_time - self.host.now) / SECOND
         return best if least < max(left, 0.0) else None
 
 
+NOTHING = (0.0, 0.0, 1)
+
+
+class Sight:
+    """The true state of all upstreams as it was `late` seconds ago, looked at four times a second."""
+
+    def __init__(self, clock: Clock, servers: Mapping[str, Server], late: float) -> None:
+        self.clock, self.servers, self.late = clock, servers, int(late * SECOND)
+        self.kept: deque[tuple[int, dict[str, tuple[float, float, int]]]] = deque()
+        self.look()
+
+    def look(self) -> None:
+        now = self.clock.now
+        self.kept.append((now, {name: (server.capacity() * (1.0 - server.failing), server.backlog(),
+                                       server.machine.cores) for name, server in self.servers.items()}))
+        while len(self.kept) > 1 and self.kept[1][0] <= now - self.late:
+            self.kept.popleft()
+        self.clock.after(SECOND // 4, self.look)
+
+    def then(self, now: int) -> dict[str, tuple[float, float, int]]:
+        return self.kept[0][1]
+
+
 POLICIES: dict[str, Callable[[Choice, dict[str, Any], int], Split]] = {
     "random": Random, "round_robin": RoundRobin, "least_out": LeastOut, "two_choices": TwoChoices,
-    "join_idle": JoinIdle, "oracle": Oracle}
-
-
-def dress(balancer: Balancer, name: str, seed: int) -> None:
-    """Have a balancer draw by another policy than the project's."""
-    if name == "choice":
-        return
-    choice, settings = balancer.pool.choice, balancer.pool.spec.settings
-    split = POLICIES[name](choice, settings, seed)
-    if isinstance(split, Plain):
-        split.balancer = balancer
-    choice.split = split
+    "join_idle": JoinIdle, "oracle": Oracle, "late_oracle": LateOracle}
+
+
+def dressed(pool: Pool, name: str, seed: int, sight: Sight | None) -> Pool:
+    """A pool that draws by another policy than the project's."""
+    if name != "choice":
+        split = POLICIES[name](pool.choice, pool.spec.settings, seed)
+        if isinstance(split, LateOracle) and sight:
+            split.sight = sight
+        pool.choice.split = split
+    return pool
--- a/whinpier/lab/experiment.py
+++ b/whinpier/lab/experiment.py
@@ -28,7 +28,8 @@
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Count = Annotated[int, Meta(ge=1, le=10_000)]
 Kind = Literal["slow", "hang", "pause", "fail", "shrink", "restart", "lost_zone", "stale_list", "lossy",
-               "partition", "clock_step", "spoilt", "surge"]
+               "partition", "clock_step", "spoilt", "surge", "killed", "rolling", "moved_list", "late_list",
+               "cut_zone", "replace", "silent_answers", "resets", "leavers", "eager", "shift"]
 KINDS: tuple[Kind, ...] = get_args(Kind)
 MOST_RUNS = 100_000
 
@@ -66,6 +67,15 @@
     idle: Positive = 60.0  # after which upstreams close connections
 
 
+class Front(Table, frozen=True, kw_only=True):
+    """What deals tasks out among the balancers."""
+
+    busy: Share = 0.0  # part of the balancers that see more than the others
+    times: Positive = 1.0  # how much more
+    zones: list[Amount] = []  # what each zone's clients ask for, in any unit; empty: all alike
+    notice: Amount = 1.0  # seconds until it sees that a balancer has died
+
+
 class Stream(Table, frozen=True, kw_only=True):
     """One workload and how it is asked for, by all balancers' clients together."""
 
@@ -111,7 +121,8 @@
     """How balancers decide."""
 
     name: Literal["choice", "random", "round_robin", "least_out", "two_choices", "join_idle",
-                  "oracle"] = "choice"
+                  "oracle", "late_oracle"] = "choice"
+    sight: Amount = 1.0  # seconds by which the late-seeing oracle sees the true state late
     hand_offs: Annotated[int, Meta(ge=1, le=16)] = 3
     second_copies: bool = False
     cancelling: bool = True
@@ -139,6 +150,7 @@
     troubles: list[Trouble] = []
     chance: Chance = Chance()
     policy: Policy = Policy()
+    front: Front = Front()
     vary: dict[str, list[Any]] = {}  # path of a key: its values; the runs are their product
     seeds: Annotated[int, Meta(ge=1, le=10_000)] = 1
     size: Amount = 0.0  # balancers; upstreams and rates grow with them; 0: as they stand
@@ -192,8 +204,12 @@
         for begins, ends, times in stream.surges:
             if not (0.0 <= begins < ends and times >= 0.0):
                 raise ConfigFault(f"streams[{index}].surges: {begins}, {ends}, {times}: not from, to, times")
+    if found.front.zones and len(found.front.zones) != found.fleet.zones:
+        raise ConfigFault(f"front.zones: names {len(found.front.zones)} of {found.fleet.zones} zones")
+    if found.front.zones and not any(found.front.zones):
+        raise ConfigFault("front.zones: nobody asks for anything")
     for index, trouble in enumerate(found.troubles):
-        if trouble.kind == "lost_zone" and trouble.zone >= found.fleet.zones:
+        if trouble.kind in ("lost_zone", "cut_zone", "shift") and trouble.zone >= found.fleet.zones:
             raise ConfigFault(f"troubles[{index}].zone: {trouble.zone} is none of {found.fleet.zones} zones")
     if found.policy.mutation not in ("", *MUTATIONS):
         raise ConfigFault(f"policy.mutation: {found.policy.mutation!r} is none of {', '.join(MUTATIONS)}")
@@ -275,6 +291,7 @@
 
 
 def shipped() -> dict[str, Path]:
-    """The experiments that come with the project."""
+    """The experiments that come with the project; those of a folder by `folder/name`."""
     folder = Path(os.path.dirname(__file__)) / "experiments"
-    return {file.stem: file for file in sorted(folder.glob("*.toml"))}
+    return {file.relative_to(folder).with_suffix("").as_posix(): file
+            for file in sorted(folder.rglob("*.toml"))}
--- a/whinpier/lab/measure.py
+++ b/whinpier/lab/measure.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from whinpier.lab.balancers import Asked
-    from whinpier.lab.world import World
+    from whinpier.lab.clock import Clock
 
 LONGEST = 120_000_000  # microseconds
 DIGITS = 3
@@ -25,8 +25,8 @@
 class Measure:
     """Counts as things happen."""
 
-    def __init__(self, world: World, warm: float, seconds: float) -> None:
-        self.world, self.warm = world, int(warm * SECOND)
+    def __init__(self, clock: Clock, warm: float, seconds: float) -> None:
+        self.start, self.warm = clock.start, int(warm * SECOND)
         self.span = int(seconds) + 1
         names = ("asked", "on_time", "fulfilled", "turned_back", "scrapped", "tries")
         self.by_second: dict[str, list[int]] = {name: [0] * self.span for name in names}
@@ -38,10 +38,10 @@
         self.ended = 0
 
     def second(self, at: int) -> int:
-        return min(self.span - 1, (at - self.world.clock.start) // SECOND)
+        return min(self.span - 1, (at - self.start) // SECOND)
 
     def counts(self, task: Asked) -> bool:
-        return task.due >= self.world.clock.start + self.warm
+        return task.due >= self.start + self.warm
 
     def asked(self, task: Asked) -> None:
         at = self.second(task.due)
--- a/whinpier/lab/mutations.py
+++ b/whinpier/lab/mutations.py
@@ -8,19 +8,19 @@
 from whinpier.model import GONE
 
 if TYPE_CHECKING:
-    from whinpier.lab.balancers import Balancer
     from whinpier.model import Task, Upstream
+    from whinpier.runtime.pool import Pool
 
 
-def repeats_exclusive(balancer: Balancer) -> None:
+def repeats_exclusive(pool: Pool) -> None:
     """An exclusive task is sent again though it may have run."""
-    again: Any = balancer.pool.choice.again
+    again: Any = pool.choice.again
     again.may_have_run = lambda task: None
 
 
-def ignores_drains(balancer: Balancer) -> None:
+def ignores_drains(pool: Pool) -> None:
     """What drains goes on getting tasks, as if the list had not said so."""
-    split = balancer.pool.choice.split
+    split = pool.choice.split
     listed: Callable[[list[Upstream]], None] = split.listed
 
     def all_ready(upstreams: list[Upstream]) -> None:
@@ -31,9 +31,8 @@
     split.listed = all_ready  # type: ignore[method-assign]
 
 
-def forgets_answers(balancer: Balancer) -> None:
+def forgets_answers(pool: Pool) -> None:
     """One task in fifty gets no answer."""
-    pool = balancer.pool
     arrive = pool.choice.arrive
     count = 0
 
@@ -48,9 +47,9 @@
     pool.choice.arrive = now_and_then  # type: ignore[method-assign]
 
 
-def floods_cold(balancer: Balancer) -> None:
+def floods_cold(pool: Pool) -> None:
     """Whoever has just started has the fewest out, and gets everything."""
-    split: Any = balancer.pool.choice.split
+    split: Any = pool.choice.split
     find = split.find
 
     def newest(task: Task) -> Any:
@@ -61,6 +60,6 @@
     split.find = newest
 
 
-MUTATIONS: dict[str, Callable[[Balancer], None]] = {
+MUTATIONS: dict[str, Callable[[Pool], None]] = {
     "repeats_exclusive": repeats_exclusive, "ignores_drains": ignores_drains,
     "forgets_answers": forgets_answers, "floods_cold": floods_cold}
--- a/whinpier/lab/troubles.py
+++ b/whinpier/lab/troubles.py
@@ -2,19 +2,28 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from whinpier.lab.clock import SECOND
 from whinpier.lab.experiment import KINDS, Chance, Trouble
 
 if TYPE_CHECKING:
+    from whinpier.lab.balancers import Balancer
     from whinpier.lab.servers import Server
     from whinpier.lab.world import World
 
-USUAL = {"slow": 0.2, "fail": 0.5, "spoilt": 0.3, "lossy": 0.1, "pause": 0.5, "clock_step": 5.0, "surge": 3.0}
+One = TypeVar("One")
+
+# What a trouble's amount is where a file does not say: a part, seconds, or times.
+USUAL = {"slow": 0.2, "fail": 0.5, "spoilt": 0.3, "lossy": 0.1, "pause": 0.5, "clock_step": 5.0,
+         "surge": 3.0, "late_list": 10.0, "silent_answers": 0.02, "resets": 0.02, "leavers": 0.1,
+         "eager": 1.0, "shift": 3.0}
 BACK = 1  # seconds that a restart takes
+STEPS = 10  # of what goes step by step
+SERVED = 3.0  # seconds that a balancer which is to stop has for what it took
+LEFT = 2.0  # and that an upstream which is replaced has after it drains
 
 
 def by_chance(chance: Chance, seconds: float, warm: float, zones: int, seed: int) -> list[Trouble]:
@@ -40,8 +49,18 @@
 
     def victims(self, trouble: Trouble) -> list[Server]:
         servers = [server for server in self.world.servers.values() if server.state == "ready"]
-        count = max(1, round(trouble.share * len(servers)))
-        return self.chance.sample(servers, min(count, len(servers)))
+        return self.some(servers, trouble.share)
+
+    def some(self, of: Sequence[One], share: float) -> list[One]:
+        """So many of them by chance, one at least."""
+        return self.chance.sample(of, min(max(1, round(share * len(of))), len(of)))
+
+    def in_steps(self, of: Sequence[One], span: float, act: Callable[[One], None]) -> None:
+        """Something that befalls a tenth of them after the other, over a span."""
+        clock = self.world.clock
+        for index, one in enumerate(of):
+            step = index * STEPS // max(1, len(of))
+            clock.after(int(span * step / STEPS * SECOND), act, one)
 
     def begin(self, trouble: Trouble) -> None:
         act: Callable[[Trouble, float], Callable[[], None]] = getattr(self, trouble.kind)
@@ -143,29 +162,135 @@
 
     def stale_list(self, trouble: Trouble, amount: float) -> Callable[[], None]:
         """Some balancers are told nothing for a while, then all of it."""
-        balancers = self.world.balancers
-        count = max(1, round(trouble.share * len(balancers)))
         ends = self.world.clock.now + int(trouble.span * SECOND)
-        for balancer in self.chance.sample(balancers, count):
+        for balancer in self.some(self.world.balancers, trouble.share):
             balancer.stale_until = max(balancer.stale_until, ends)
         return lambda: None
 
+    def cut_zone(self, trouble: Trouble, amount: float) -> Callable[[], None]:
+        """A zone and the others do not reach each other, whichever way; the list does not know."""
+        apart = self.world.ground.network.apart
+        apart[trouble.zone] += 1
+
+        def back() -> None:
+            apart[trouble.zone] -= 1
+            if not any(apart.values()):
+                apart.clear()
+
+        return back
+
+    def replace(self, trouble: Trouble, amount: float) -> Callable[[], None]:
+        """A part of the fleet is replaced in steps by new upstreams, cold and under new names."""
+        world = self.world
+
+        def one(old: Server) -> None:
+            if old.state != "ready":
+                return
+            new = world.server(old.machine, old.zone)
+            new.start()
+            world.state(new, "ready")
+            world.state(old, "draining")
+            world.clock.after(int(LEFT * SECOND), gone, old)
+
+        def gone(old: Server) -> None:
+            world.state(old, "gone")
+            old.stop()
+            world.clock.after(int(60 * SECOND), world.forget, old)
+
+        self.in_steps(self.victims(trouble), trouble.span, one)
+        return lambda: None
+
+    def killed(self, trouble: Trouble, amount: float) -> Callable[[], None]:
+        """Balancers die at once; they are started again when the trouble is over, knowing nothing."""
+        hit = self.some(self.world.balancers, trouble.share)
+        for balancer in hit:
+            self.world.kill(balancer)
+
+        def back() -> None:
+            for balancer in hit:
+                self.world.start(balancer)
+
+        return back
+
+    def rolling(self, trouble: Trouble, amount: float) -> Callable[[], None]:
+        """Balancers are restarted a tenth at a time: each serves what it has, ends, and begins anew."""
+        world = self.world
+
+        def leave(balancer: Balancer) -> None:
+            if balancer.up and not balancer.leaving:
+                balancer.leaving = True
+                world.front.noticed(balancer, balancer.run)
+                world.clock.after(int(SERVED * SECOND), end, balancer, balancer.run)
+
+        def end(balancer: Balancer, run: int) -> None:
+            if balancer.run == run:
+                world.kill(balancer)
+                world.clock.after(BACK * SECOND, world.start, balancer)
+
+        self.in_steps(self.some(world.balancers, trouble.share or 1.0), trouble.span, leave)
+        return lambda: None
+
+    def moved_list(self, trouble: Trouble, amount: float) -> Callable[[], None]:
+        """Each balancer is told the whole list anew, some time in the span."""
+        world = self.world
+
+        def anew(balancer: Balancer) -> None:
+            balancer.tell(world.entries(), True)
+
+        for balancer in world.balancers:
+            world.clock.after(int(self.chance.random() * trouble.span * SECOND), anew, balancer)
+        return lambda: None
+
+    def late_list(self, trouble: Trouble, amount: float) -> Callable[[], None]:
+        """What the list has to say comes so many times later than usual."""
+        self.world.late *= amount
+
+        def back() -> None:
+            self.world.late /= amount
+
+        return back
+
     def lossy(self, trouble: Trouble, amount: float) -> Callable[[], None]:
-        self.world.loss += amount
+        return raised([self.world.ground.network], "loss", amount)
+
+    def silent_answers(self, trouble: Trouble, amount: float) -> Callable[[], None]:
+        """A part of all answers never comes, and nothing says so."""
+        return raised([self.world.ground.network], "silent", amount)
 
-        def less() -> None:
-            self.world.loss = max(0.0, self.world.loss - amount)
+    def resets(self, trouble: Trouble, amount: float) -> Callable[[], None]:
+        """A part of all connections is reset under a request that was written: it runs unknown."""
+        return raised([self.world.ground.network], "resets", amount)
 
-        return less
+    def leavers(self, trouble: Trouble, amount: float) -> Callable[[], None]:
+        """A part of the clients leaves before its time."""
+        return raised(self.world.clients, "leaving", amount)
+
+    def eager(self, trouble: Trouble, amount: float) -> Callable[[], None]:
+        """Clients come again at once, whatever they are told, and more often."""
+        def more(by: int) -> None:
+            for clients in self.world.clients:
+                clients.eager += by
+
+        more(round(amount))
+        return lambda: more(-round(amount))
+
+    def shift(self, trouble: Trouble, amount: float) -> Callable[[], None]:
+        """A zone's clients ask for so many times as much of the whole."""
+        front = self.world.front
+
+        def times(by: float) -> None:
+            front.zones[trouble.zone] *= by
+            front.deal()
+
+        times(amount)
+        return lambda: times(1.0 / amount)
 
     def partition(self, trouble: Trouble, amount: float) -> Callable[[], None]:
         """Some balancers and some upstreams do not reach each other; the list does not know."""
-        balancers = self.world.balancers
-        few = {balancer.number for balancer in
-               self.chance.sample(balancers, max(1, round(trouble.share * len(balancers))))}
-        cut = (few, {server.name for server in self.victims(trouble)})
-        self.world.cuts.append(cut)
-        return lambda: self.world.cuts.remove(cut)
+        few = {balancer.number for balancer in self.some(self.world.balancers, trouble.share)}
+        cut, cuts = (few, {server.name for server in self.victims(trouble)}), self.world.ground.network.cuts
+        cuts.append(cut)
+        return lambda: cuts.remove(cut)
 
     def clock_step(self, trouble: Trouble, amount: float) -> Callable[[], None]:
         """The wall clock of some upstreams is wrong: they say that they started later or sooner."""
@@ -184,11 +309,11 @@
         return lambda: times(1.0 / amount)
 
 
-def raised(hit: list[Server], share: str, amount: float) -> Callable[[], None]:
-    """Raise a share of some servers, within 0 and 1; what is given back lowers it again."""
+def raised(hit: Sequence[object], share: str, amount: float) -> Callable[[], None]:
+    """Raise a share of some things, within 0 and 1; what is given back lowers it again."""
     def more(by: float) -> None:
-        for server in hit:
-            setattr(server, share, max(0.0, min(1.0, getattr(server, share) + by)))
+        for one in hit:
+            setattr(one, share, max(0.0, min(1.0, round(getattr(one, share) + by, 12))))
 
     more(amount)
     return lambda: more(-amount)
--- a/whinpier/lab/world.py
+++ b/whinpier/lab/world.py
@@ -5,23 +5,25 @@
 import gc
 import logging
 import time
-from itertools import count as numbers
+from dataclasses import replace
 from random import Random
 from typing import Any
 
 from whinpier import log
 from whinpier.lab.balancers import Balancer
-from whinpier.lab.baselines import dress
-from whinpier.lab.clients import Clients
+from whinpier.lab.baselines import Sight, dressed
+from whinpier.lab.clients import Clients, Front
 from whinpier.lab.clock import SECOND, Clock
-from whinpier.lab.experiment import File
+from whinpier.lab.experiment import File, Machine
+from whinpier.lab.ground import Ground, Network
 from whinpier.lab.measure import Measure
 from whinpier.lab.mutations import MUTATIONS
 from whinpier.lab.rules import RULES, Referee
 from whinpier.lab.servers import Server
 from whinpier.lab.troubles import Troubles, by_chance
-from whinpier.model import Workload
-from whinpier.spec import Limits, PoolSpec
+from whinpier.model import GONE, Workload
+from whinpier.runtime.pool import Pool
+from whinpier.spec import Entry, Limits, PoolSpec
 
 AFTER = 2 * SECOND  # past the last task's patience: what is late comes in
 
@@ -31,30 +33,39 @@
 
     def __init__(self, experiment: File, seed: int) -> None:
         self.experiment, self.seed = experiment, seed
-        self.clock, self.number = Clock(seed), numbers(1).__next__
+        fleet = experiment.fleet
+        self.clock = Clock(seed)
         self.ends = self.clock.start + int(experiment.seconds * SECOND)
-        self.chance = Random(f"network/{seed}")
-        self.loss = 0.0
-        self.cuts: list[tuple[set[int], set[str]]] = []
-        self.referee = Referee(self, int(experiment.policy.drain_grace * SECOND))
-        self.measure = Measure(self, experiment.warm, experiment.seconds)
+        self.chance = Random(f"list/{seed}")
+        self.late = 1.0  # how many times later than usual the list is told
+        ground = self.ground = Ground(self.clock, Network(seed, fleet.network, fleet.far))
+        self.referee = ground.referee = Referee(ground, int(experiment.policy.drain_grace * SECOND))
+        self.measure = ground.measure = Measure(self.clock, experiment.warm, experiment.seconds)
         self.servers: dict[str, Server] = {}
-        for machine in experiment.fleet.machines:
+        self.number = 0  # of the next upstream
+        for machine in fleet.machines:
             for _ in range(machine.count):
-                number = len(self.servers)
-                zone = number % experiment.fleet.zones
-                server = Server(self.clock, number, machine, zone, seed, self.referee.fell)
-                self.servers[server.name] = server
-        self.balancers = [self.balancer(number) for number in range(experiment.fleet.balancers)]
-        workloads = self.workloads()
-        self.clients = [Clients(self, stream, workload, seed)
-                        for stream, workload in zip(experiment.streams, workloads)]
-        zones = experiment.fleet.zones
-        drawn = by_chance(experiment.chance, experiment.seconds, experiment.warm, zones, seed)
+                self.server(machine, self.number % fleet.zones)
+        oracle = experiment.policy.name == "late_oracle"
+        self.sight = Sight(self.clock, self.servers, experiment.policy.sight) if oracle else None
+        self.balancers = [Balancer(ground, number, number % fleet.zones, self.servers, self.pool)
+                          for number in range(fleet.balancers)]
+        self.front = Front(ground, experiment.front, self.balancers, fleet.zones, seed, self.ends,
+                           experiment.seconds)
+        self.clients = [Clients(ground, self.front, stream, workload)
+                        for stream, workload in zip(experiment.streams, self.workloads())]
+        drawn = by_chance(experiment.chance, experiment.seconds, experiment.warm, fleet.zones, seed)
         self.troubles = Troubles(self, [*experiment.troubles, *drawn], seed)
 
     # What it is made of.
 
+    def server(self, machine: Machine, zone: int) -> Server:
+        """A new upstream, under a name that none had."""
+        server = Server(self.clock, self.number, machine, zone, self.seed, self.referee.fell)
+        self.number += 1
+        self.servers[server.name] = server
+        return server
+
     def workloads(self) -> list[Workload]:
         return [Workload(stream.name, stream.kind, int(stream.agreed_time * SECOND),
                          int(stream.patience * SECOND), stream.payoff, stream.late_payoff, stream.group,
@@ -70,43 +81,61 @@
                 "rules.cold": int(warm_up * SECOND), "rules.cold_from": cold if warm_up else 1.0,
                 "prices.cross_zone": 0.0, "report.columns": []}
 
-    def balancer(self, number: int) -> Balancer:
-        experiment, zone = self.experiment, number % self.experiment.fleet.zones
-        spec = PoolSpec("lab", self.settings(number, zone), self.workloads(),
+    def pool(self, balancer: Balancer) -> Pool:
+        """What one run of a balancer's process decides by."""
+        experiment, number = self.experiment, balancer.number
+        spec = PoolSpec("lab", self.settings(number, balancer.zone), self.workloads(),
                         [f"z{place}" for place in range(experiment.fleet.zones)], [], [], SECOND // 4,
                         int(experiment.fleet.idle * SECOND), limits=Limits())
-        made = Balancer(self, number, zone, spec, Random(f"balancer/{self.seed}/{number}").getrandbits(64))
-        dress(made, experiment.policy.name, self.seed * 1000 + number)
+        seed = Random(f"balancer/{self.seed}/{number}/{balancer.run}").getrandbits(64)
+        made = dressed(Pool(balancer, spec, seed, balancer.counts), experiment.policy.name,
+                       self.seed * 1000 + number, self.sight)
         if experiment.policy.mutation:
             MUTATIONS[experiment.policy.mutation](made)
         return made
 
-    # What troubles do.
+    def entries(self) -> list[Entry]:
+        """The list as it truly is."""
+        return [server.entry() for server in self.servers.values() if server.state != GONE]
 
-    def cut(self, balancer: Balancer, server: Server) -> bool:
-        """Whether the two do not reach each other."""
-        return any(balancer.number in few and server.name in names for few, names in self.cuts)
+    # What troubles do.
 
     def state(self, server: Server, state: str) -> None:
         """The list says something new of an upstream; balancers are told when they are."""
         server.state = state
         entry = server.entry()
-        delay = int(self.experiment.fleet.list_delay * SECOND)
+        delay = self.experiment.fleet.list_delay * self.late * SECOND
         for balancer in self.balancers:
             at = max(self.clock.now, balancer.stale_until) + int(delay * (0.5 + self.chance.random()))
             self.clock.at(at, self.told, balancer, entry)
 
-    def told(self, balancer: Balancer, entry: Any) -> None:
+    def told(self, balancer: Balancer, entry: Entry) -> None:
         # What was on its way when something newer came is old by now.
-        server = self.servers[entry.host]
-        if entry.state == server.state and entry.started == server.started:
+        server = self.servers.get(entry.host)
+        if server is None or entry.state == server.state and entry.started == server.started:
             balancer.tell([entry], False)
 
+    def forget(self, server: Server) -> None:
+        """It has gone for good, and everybody was told long ago."""
+        self.servers.pop(server.name, None)
+
+    def kill(self, balancer: Balancer) -> None:
+        """Its process dies: whoever waited for it hears nothing but the end of the connection."""
+        if balancer.up:
+            for task in balancer.kill():
+                task.stream.cut_off(task)
+            self.front.lost(balancer)
+
+    def start(self, balancer: Balancer) -> None:
+        if not balancer.up:
+            balancer.start([replace(entry) for entry in self.entries()])
+            self.front.back(balancer)
+
     # The run.
 
     def look(self) -> None:
         """Each second: whether the balancers' picture is what is on the wire."""
-        self.referee.pictures()
+        self.referee.pictures(self.balancers)
         if self.clock.now < self.ends:
             self.clock.after(SECOND, self.look)
 
@@ -115,7 +144,7 @@
         logging.getLogger("whinpier").disabled = True
         log.counts.clear()
         begun = time.perf_counter()
-        entries = [server.entry() for server in self.servers.values()]
+        entries = self.entries()
         for balancer in self.balancers:
             balancer.tell(entries, True)
         for clients in self.clients:
@@ -141,7 +170,7 @@
                     for one in self.troubles.troubles]
         found |= {"seed": self.seed, "breaches": {rule: self.referee.breaches[rule] for rule in RULES},
                   "told": self.referee.told, "servers": servers, "events": self.clock.events,
-                  "wall_s": took, "troubles": troubles}
+                  "fleet": dict(self.ground.counts), "wall_s": took, "troubles": troubles}
         found["holds"], found["why"] = verdict(self.experiment, found)
         return found
 
