--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -258,3 +258,24 @@
     host.choice.split.keys.clear()  # as when very many others came meanwhile
     host.came_back(task.hand_offs[0], RESET)
     assert len(task.hand_offs) == 2
+
+
+def test_a_connection_that_is_reset_puts_no_upstream_in_doubt_and_one_that_never_came_up_does():
+    """A fleet whose connections were reset now and then kept a third of its sound upstreams for trials only."""
+    host = FakeHost(count=4)
+    host.traffic(6 * SECOND)
+    bad = host.upstreams[0]
+
+    def part(outcome):
+        """What share of the tasks it gets from two seconds after a hand-off that came back so."""
+        while not (out := [hand_off for hand_off in host.out() if hand_off.upstream is bad]):
+            host.traffic(20 * MS)
+        host.came_back(out[0], outcome)
+        host.traffic(2 * SECOND)
+        before = len(host.sent)
+        host.traffic(8 * SECOND)
+        sent = host.sent[before:]
+        return sum(hand_off.upstream is bad for hand_off in sent) / len(sent)
+
+    assert part(RESET) > 0.1
+    assert part(NO_CONNECTION) < 0.1
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -495,8 +495,10 @@
         seen.pull = seen.pull - hand_off.pull if seen.out else 0.0
         if outcome in (FULFILLED, ERROR, FULL):
             seen.answered(now)
-        elif outcome in (NO_CONNECTION, RESET):
-            seen.silence = max(seen.silence, 5.0)  # guards against one that is down before the list says so
+        elif outcome == NO_CONNECTION:
+            # Guards against one that is down before the list says so. A reset alone says nothing of it: of one
+            # that has died the next connection tells, which harms no task; one that lives would get trials only.
+            seen.silence = max(seen.silence, 5.0)
         if outcome in (MOOT, WITHDRAWN):
             return  # its time is counted, an answer never came
         if outcome == FULFILLED:
--- a/whinpier/lab/world.py
+++ b/whinpier/lab/world.py
@@ -118,6 +118,8 @@
     def forget(self, server: Server) -> None:
         """It has gone for good, and everybody was told long ago."""
         self.servers.pop(server.name, None)
+        for balancer in self.balancers:
+            balancer.told_at.pop(server.name, None)
 
     def kill(self, balancer: Balancer) -> None:
         """Its process dies: whoever waited for it hears nothing but the end of the connection."""
@@ -134,8 +136,11 @@
     # The run.
 
     def look(self) -> None:
-        """Each second: whether the balancers' picture is what is on the wire."""
+        """Each second: whether the balancers' picture is what is on the wire; who has gone is let go."""
         self.referee.pictures(self.balancers)
+        for balancer in self.balancers:
+            if balancer.up and balancer.pool.leavers:
+                balancer.pool.sweep()
         if self.clock.now < self.ends:
             self.clock.after(SECOND, self.look)
 
