--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -261,7 +261,7 @@
 
 
 def test_a_connection_that_is_reset_puts_no_upstream_in_doubt_and_one_that_never_came_up_does():
-    """A fleet whose connections were reset now and then kept a third of its sound upstreams for trials only."""
+    """A fleet with a reset now and then kept a third of its sound upstreams for trials only."""
     host = FakeHost(count=4)
     host.traffic(6 * SECOND)
     bad = host.upstreams[0]
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -19,7 +19,7 @@
 
 from whinpier.decay import SECOND, Sum
 from whinpier.model import (ERROR, EXCLUSIVE, FULFILLED, FULL, MOOT, NEVER_RAN, NO_CONNECTION, READY,
-                            RERUNNABLE, RESET, TIMED_OUT, WITHDRAWN, HandOff, Host, Task, Upstream, Workload)
+                            RERUNNABLE, TIMED_OUT, WITHDRAWN, HandOff, Host, Task, Upstream, Workload)
 
 PASS, KEEP, END = "pass on", "keep", "end"
 PERIOD = SECOND  # between solves; the design page's
@@ -496,8 +496,8 @@
         if outcome in (FULFILLED, ERROR, FULL):
             seen.answered(now)
         elif outcome == NO_CONNECTION:
-            # Guards against one that is down before the list says so. A reset alone says nothing of it: of one
-            # that has died the next connection tells, which harms no task; one that lives would get trials only.
+            # Guards against one that is down before the list says so. A reset alone is no reason: of one that
+            # died the next connection tells, which harms no task, and one that lives would get trials only.
             seen.silence = max(seen.silence, 5.0)
         if outcome in (MOOT, WITHDRAWN):
             return  # its time is counted, an answer never came
