--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -51,9 +51,10 @@
 
     def watch(self, now: int) -> None:
         """Count how many answers were due since last looked at, had its hand-offs taken the usual time."""
-        missing = self.pull * (now - self.at)
-        self.silence += missing
-        self.missing += missing
+        if self.pull:
+            missing = self.pull * (now - self.at)
+            self.silence += missing
+            self.missing += missing
         self.at = now
 
     def answered(self, now: int) -> None:
@@ -69,9 +70,10 @@
     def doubted(self, now: int, but: HandOff | None = None) -> bool:
         # Guards against one that takes tasks and answers none: what is out bounds its latency by its age.
         self.watch(now)
+        if self.silence <= self.DOUBT:
+            return False
         # For `but`, a heavy task must not pass for a silent upstream: without it, one more must be overdue.
-        alone = (now - max(but.sent, self.heard)) * but.pull if but else 0.0
-        return self.silence > self.DOUBT and self.silence - alone > 1.0
+        return not but or self.silence - (now - max(but.sent, self.heard)) * but.pull > 1.0
 
 
 def level(costs: list[float], rate: float) -> list[float]:
@@ -451,10 +453,14 @@
         """The upstream for a task; None where nothing may be sent to."""
         now, most = self.host.now, 2.0 * self.total / max(1, len(self.pool))
         # Guards against many that each round up to one: all parts bound what is out, at ease if not overdue.
-        sound = [seen for seen in self.pool if seen.silence <= (Seen.DOUBT if self.crowded else 1.0)]
+        out, parts, sound = 0, 0.0, Seen.DOUBT if self.crowded else 1.0
+        for seen in self.pool:
+            if seen.silence <= sound:
+                out, parts = out + seen.out, parts + seen.part
         best = next(iter(self.choice.entry.held))  # what adds most for its work is not kept out by the rest
-        out = min(sum(seen.out for seen in sound), best.known.out if task.workload is best else self.total)
-        if out >= max(1.0, sum(seen.part for seen in sound)) - 0.5 * self.crowded:
+        if task.workload is best:
+            out = min(out, best.known.out)
+        if out >= max(1.0, parts) - 0.5 * self.crowded:
             return None
         # Trials rather go with tasks that may be repeated: they may meet what answers nothing.
         if self.owed >= (1.0 if task.workload.kind != EXCLUSIVE else 4.0) and not task.hand_offs:
--- a/whinpier/decay.py
+++ b/whinpier/decay.py
@@ -22,7 +22,11 @@
         return self.value
 
     def add(self, now: int, amount: float = 1.0) -> None:
-        self.value = self.read(now) + amount
+        if now > self.at:
+            self.value = self.value * exp((self.at - now) / self.span) + amount
+            self.at = now
+        else:
+            self.value += amount
 
     def rate(self, now: int) -> float:
         """Parts a second, made up for the time before the first one could come."""
