A full RADIUS memory takes nothing new: no retransmission of an answered record runs again

Besides: an Acct-Status-Type of 3 bytes passed as a record, and an answer over 4,096 bytes with the client's Proxy-States raised in the one place that answers. Change: memory in parts by client, half of `most` dealt out evenly, half common; full is silence, counted, said with client and what to raise; `kept` may be set by client; keys are hashes; 64 entries at the most are looked at with a packet. check_record refuses, before anything is remembered, what decides and comes twice, is missing or has another length. An answer too large goes without the server's attributes.

--- a/benchmarks/radius.py
+++ b/benchmarks/radius.py
@@ -21,7 +21,7 @@
 from whinpier.standin.fleet import Fleet
 from whinpier.standin.load import Load
 from whinpier.standin.process import Balancer, free_address
-from whinpier.standin.radius import Behaviour, Client, Server, Weather
+from whinpier.standin.radius import Behaviour, Burst, Client, Server, Weather, record
 from whinpier.standin.upstream import Script
 
 CLIENTS, RATE, AGREED = 4, 100.0, 1.5  # seconds: one retransmission of a client is in time
@@ -84,6 +84,30 @@
             server.stop()
 
 
+async def full(seed: int, records: int, most: int, folder: Path) -> dict[str, Any]:
+    """A memory smaller than what comes: every record once, then each again byte for byte."""
+    server = Server("r0", b"server", Behaviour(delay=0.002, forgets=True), Weather(), seed)
+    await server.start()
+    listen, radius = free_address(), free_address()
+    whole = files.records(radius, {"r0": f"127.0.0.1:{server.port}"}, ["partner"], most=most, kept="30s")
+    balancer = Balancer(folder, operator=files.document({"version": 1, "listen": [listen], **whole}),
+                        listen=listen, cores={apart()[0]})
+    try:
+        await asyncio.to_thread(balancer.wait_ready)
+        host, _, port = radius.rpartition(":")
+        burst = Burst((host, int(port)), b"partner")
+        packets = [record(number, b"partner") for number in range(records)]
+        for _ in range(2):
+            await burst.send(packets, 600.0)
+            await asyncio.sleep(0.5)
+        burst.close()
+        return {"ran": server.ran, "answered": len(burst.answers),
+                "contents": max((len(set(one)) for one in burst.answers.values()), default=0)}
+    finally:
+        await asyncio.to_thread(balancer.stop)
+        server.stop()
+
+
 def share(told: list[Any]) -> float:
     return sum(bool(one.answers) and one.latency <= AGREED for one in told) / max(1, len(told))
 
@@ -119,6 +143,14 @@
                      100 * (alone["http"].share_on_time() - seen["http"].share_on_time()), most=2)
         report.bound(f"{name}: lines that say a rule or the program is broken",
                      seen["log"].count("event=broken") + seen["log"].count("level=error"), most=0)
+    most, records = (300, 600) if given.short else (3000, 6000)
+    with tempfile.TemporaryDirectory() as folder:
+        met = asyncio.run(full(given.seed, records, most, Path(folder)))
+    report.say(f"     full memory: {records} records and as many retransmissions, room for {most}; "
+               f"{met['answered']} answered")
+    report.bound("full memory: records that ran twice", sum(n > 1 for n in met["ran"].values()), most=0)
+    report.bound("full memory: records with two answers", max(0, met["contents"] - 1), most=0)
+    report.bound("full memory: part of the room that was used", met["answered"] / most, least=0.95)
     report.bound("lossy: answered", sum(bool(one.answers) for one in lossy["told"]) / len(lossy["told"]),
                  least=0.99)
     packets = calm["packets"]
--- a/whinpier/radius/front.py
+++ b/whinpier/radius/front.py
@@ -31,18 +31,18 @@
 class Asked(Record):
     """A record with whoever waits for its answer."""
 
-    __slots__ = ("front", "client", "secret", "source", "sock", "key_on_wire", "over", "others")
+    __slots__ = ("front", "client", "secret", "source", "sock", "entry", "over", "others")
 
     def __init__(self, number: int, workload: Workload, came: int, ends: int, front: Front, packet: Packet,
-                 key: keys.Key, client: ClientSpec, secret: bytes, source: keys.Source,
+                 entry: keys.Entry[Asked], client: ClientSpec, secret: bytes, source: keys.Source,
                  sock: socket.socket) -> None:
         super().__init__(number, workload, came, ends)
         self.client, self.secret, self.source, self.sock = client, secret, source, sock
-        self.front, self.packet, self.key_on_wire = front, packet, key
+        self.front, self.packet, self.entry = front, packet, entry
         self.id_given = b""
         self.over = False
         # Who else has sent it since, in other words; each is answered in its own.
-        self.others: list[tuple[socket.socket, keys.Source, Packet, bytes, keys.Key]] = []
+        self.others: list[tuple[socket.socket, keys.Source, Packet, bytes, bytes]] = []
 
     def waited_for(self) -> bool:
         return not self.over
@@ -67,13 +67,14 @@
 
     def __init__(self, life: Life, spec: RadiusSpec, sockets: list[socket.socket]) -> None:
         self.life, self.loop, self.spec, self.sockets = life, life.loop, spec, sockets
-        self.memory: keys.Memory[Asked] = keys.Memory(spec.kept, spec.most)
+        self.memory: keys.Memory[Asked] = keys.Memory()
+        self.follow(spec)
         self.second, self.seen = 0, dict[str, int]()  # packets of each client in this second
 
     def follow(self, spec: RadiusSpec) -> None:
         """Go on by another configuration: secrets, clients, routes; what is out and remembered stays."""
         self.spec = spec
-        self.memory.kept, self.memory.most = spec.kept, spec.most
+        self.memory.change(spec.kept, spec.most, {one.name: one.kept or spec.kept for one in spec.clients})
 
     def start(self, listeners: list[socket.socket]) -> None:
         for sock in self.sockets:
@@ -127,23 +128,26 @@
             if self.life.ready():
                 self.send(sock, wire.answer(packet, secret, True), source)
             return
+        wire.check_record(packet)
         key = keys.wire_key(source, packet)
         record = keys.record_key(packet, client.name) if self.spec.records else None
-        met, entry = self.memory.meet(key, record, keys.content(packet), self.loop.clock())
+        met, entry = self.memory.meet(client.name, key, record, keys.content(packet), self.loop.clock())
         if met == keys.NEW:
+            assert entry is not None
             log.counts["radius_requests"] += 1
-            self.enter(sock, source, packet, client, secret, key)
+            self.enter(sock, source, packet, client, secret, entry)
             return
         log.counts["radius_" + met.replace(" ", "_")] += 1
         if entry is None:
+            log.note("radius_full", client=client.name, remembered=len(self.memory),
+                     raise_one_of="radius.most, or lower radius.clients.N.kept")
             return
         if met == keys.AGAIN and entry.answer is not None:
             # Another packet with the same record is answered in its own words, the same packet in the same.
-            same = self.memory.entries.get(key) is entry
-            answer = entry.answer if same else wire.answer(packet, secret, client.signed,
-                                                           attributes=wire.parse(entry.answer).attributes)
+            answer = entry.answer if entry.key == key else self.answer_to(
+                packet, secret, client, wire.parse(entry.answer).attributes)
             self.send(sock, answer, source)
-        elif met == keys.JOINS and entry.task and self.memory.entries.get(key) is not entry:
+        elif met == keys.JOINS and entry.task and entry.key != key:
             others = entry.task.others
             if len(others) < 16 and all(other[4] != key for other in others):
                 others.append((sock, source, packet, secret, key))
@@ -158,32 +162,26 @@
         return client.secrets[-1]
 
     def enter(self, sock: socket.socket, source: keys.Source, packet: Packet, client: ClientSpec,
-              secret: bytes, key: keys.Key) -> None:
+              secret: bytes, entry: keys.Entry[Asked]) -> None:
         """A new record: a task of the pool that its route names."""
-        if len(packet.all(wire.PROXY_STATE)) > wire.MOST_PROXIES:
-            self.memory.given_up(key)
-            raise BadPacket("more proxies than a way has: a loop")
-        if packet.first(wire.STATUS_TYPE) is None or len(packet.all(wire.STATUS_TYPE)) > 1:
-            self.memory.given_up(key)
-            raise BadPacket("no Acct-Status-Type, or two")
         route = next((route for route in self.spec.routes if route.takes(packet, client.name)), None)
         pool = self.life.pools.get(route.pool) if route else None
         if route is None or pool is None:
             log.counts["no_route"] += 1
-            self.memory.given_up(key)
+            self.memory.given_up(entry)
             return
         workload = pool.workloads[route.workload.encode()]
         if self.life.no_room(pool):
             log.counts["turned_back_at_the_door"] += 1
-            self.memory.given_up(key)
+            self.memory.given_up(entry)
             return
         now = self.loop.clock()
         ends = self.life.ends(now, workload.patience)
-        task = Asked(self.loop.next_id(), workload, now, ends, self, packet, key, client, secret, source,
-                     sock)
+        task = Asked(self.loop.next_id(), workload, now, ends, self, packet, entry, client, secret,
+                     source, sock)
         session = packet.first(wire.SESSION_ID) or b""
         task.key = hashed(session) if session else 0
-        self.memory.entries[key].task = task
+        entry.task = task
         pool.take(task)
 
     # The one final answer.
@@ -191,18 +189,29 @@
     def reply(self, task: Asked, answer: Packet) -> None:
         own = task.packet
         attributes = [pair for pair in answer.attributes if pair[0] != wire.PROXY_STATE]
-        data = wire.answer(own, task.secret, task.client.signed, attributes=attributes)
-        self.memory.answered(task.key_on_wire, data, self.loop.clock())
+        data = self.answer_to(own, task.secret, task.client, attributes)
+        self.memory.answered(task.entry, data, self.loop.clock())
         self.send(task.sock, data, task.source)
         for sock, source, packet, secret, _ in task.others:
-            self.send(sock, wire.answer(packet, secret, task.client.signed, attributes=attributes), source)
+            self.send(sock, self.answer_to(packet, secret, task.client, attributes), source)
+
+    @staticmethod
+    def answer_to(packet: Packet, secret: bytes, client: ClientSpec,
+                  attributes: list[tuple[int, bytes]]) -> bytes:
+        """The answer in a packet's own words; what fits in no packet goes without the server's attributes."""
+        try:
+            return wire.answer(packet, secret, client.signed, attributes=attributes)
+        except ValueError:
+            # Proxy-States have to go back, and did fit in the request; a client needs nothing else of it.
+            log.warn("radius_answer_too_large", client=client.name)
+            return wire.answer(packet, secret, client.signed)
 
     def silent(self, task: Asked, harmless: bool) -> None:
         """No answer goes. What may have run and must not run twice is remembered; all else may come again."""
         if harmless:
-            self.memory.given_up(task.key_on_wire)
+            self.memory.given_up(task.entry)
         else:
-            self.memory.ended(task.key_on_wire, self.loop.clock())
+            self.memory.ended(task.entry, self.loop.clock())
 
     def send(self, sock: socket.socket, data: bytes, source: keys.Source) -> None:
         try:
@@ -227,4 +236,4 @@
         return False
 
     def figures(self) -> dict[str, int]:
-        return {"radius_remembered": len(self.memory.entries)}
+        return {"radius_remembered": len(self.memory)}
--- a/whinpier/radius/keys.py
+++ b/whinpier/radius/keys.py
@@ -2,14 +2,15 @@
 
 Owns the memory of requests and of their answers, bounded in number and time. A retransmission has the same
 source, identifier and authenticator (RFC 5080, section 2.2.2); the same identifier with another authenticator
-is a new request. Must never take two different records for one, or answer one request in two ways.
+is a new request. Must never take two different records for one, answer one request in two ways, or forget
+before its time what may come again: what there is no room for is not taken.
 """
 
 from __future__ import annotations
 
 import hashlib
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from collections.abc import Iterable
 from typing import Generic, TypeVar
 
 from whinpier.decay import SECOND
@@ -17,15 +18,17 @@
 from whinpier.radius.packet import Packet
 
 Source = tuple[str, int]
-Key = tuple[Source, int, bytes]
 T = TypeVar("T")
 
 NEW, JOINS, AGAIN, FULL = "new", "joins", "answered again", "full"
+COMMON = 0.5  # of the memory, for whoever comes; the rest is dealt out evenly, so that each has some of both
+AT_ONCE = 64  # entries looked at for their age with each packet: many times what one packet adds
 
 
-def wire_key(source: Source, packet: Packet) -> Key:
-    """What a retransmission has in common with the first."""
-    return source, packet.id, packet.authenticator
+def wire_key(source: Source, packet: Packet) -> bytes:
+    """What a retransmission has in common with the first: 16 bytes of a hash over it."""
+    text = b"%s %d %d " % (source[0].encode(), source[1], packet.id)
+    return hashlib.blake2b(text + packet.authenticator, digest_size=16).digest()
 
 
 def record_key(packet: Packet, client: str) -> bytes | None:
@@ -48,88 +51,119 @@
     return hashlib.blake2b(text, digest_size=16).digest()
 
 
-@dataclass(slots=True)
 class Entry(Generic[T]):
     """A request that was met: who waits for its answer, or the answer that it had."""
 
-    record: bytes | None
-    until: int
-    task: T | None = None
-    answer: bytes | None = None
-    content: bytes = b""  # a hash of what the record says, beside its delay
+    __slots__ = ("part", "key", "record", "content", "until", "task", "answer")
+
+    def __init__(self, part: Part[T], key: bytes, record: bytes | None, content: bytes, until: int) -> None:
+        self.part, self.key, self.record, self.content = part, key, record, content
+        self.until = until
+        self.task: T | None = None
+        self.answer: bytes | None = None
+
+
+class Part(Generic[T]):
+    """What is remembered of one client, in the order in which its time is over."""
+
+    def __init__(self, kept: int) -> None:
+        self.kept, self.guaranteed = kept, 0
+        self.entries: OrderedDict[bytes, Entry[T]] = OrderedDict()
+        self.records: dict[bytes, Entry[T]] = {}
 
 
-@dataclass
 class Memory(Generic[T]):
-    """Requests by key, the oldest first out once their time is over.
+    """Requests by client and key; what is kept of one client is not touched by what another sends.
 
-    `kept` is nanoseconds that an answer is kept; `most` bounds the entries. Where it is full of requests that
-    are still out nothing new is taken: forgetting one of them could charge it twice.
+    `kept` is nanoseconds that an answer is kept, `most` bounds the entries of all clients together. Each
+    client always has an even share of half of them; the other half is for whoever comes. Nothing is let go to
+    make room, answered or not: a retransmission of it would run again.
     """
 
-    kept: int = 30 * SECOND
-    most: int = 65_536
-    entries: OrderedDict[Key, Entry[T]] = field(default_factory=OrderedDict)
-    records: dict[bytes, Key] = field(default_factory=dict)
-
-    def meet(self, key: Key, record: bytes | None, content: bytes, now: int) -> tuple[str, Entry[T] | None]:
+    def __init__(self, kept: int = 30 * SECOND, most: int = 65_536, clients: Iterable[str] = ()) -> None:
+        self.parts: dict[str, Part[T]] = {}
+        self.change(kept, most, {name: kept for name in clients})
+
+    def __len__(self) -> int:
+        return sum(len(part.entries) for part in self.parts.values())
+
+    def change(self, kept: int, most: int, clients: dict[str, int]) -> None:
+        """Go on by other bounds; `clients` are names with how long each one's answers are kept.
+
+        A client that is no longer there keeps what is remembered of it until its time is over.
+        """
+        self.kept, self.most = kept, most
+        even = int((1.0 - COMMON) * most / max(1, len(clients)))
+        for name, own in clients.items():
+            part = self.parts.setdefault(name, Part(own))
+            part.kept, part.guaranteed = own, even
+        for name, part in self.parts.items():
+            part.guaranteed = part.guaranteed if name in clients else 0
+        self.common = most - even * len(clients)
+        self.lent = sum(max(0, len(part.entries) - part.guaranteed) for part in self.parts.values())
+
+    def meet(self, client: str, key: bytes, record: bytes | None, content: bytes,
+             now: int) -> tuple[str, Entry[T] | None]:
         """A request has come: whether it is new, joins one that is out, or is answered as it was before."""
-        self.forget(now)
-        entry = self.entries.get(key)
-        if entry is None and record is not None and (other := self.records.get(record)) is not None:
-            known = self.entries[other]
+        part = self.parts.get(client)
+        if part is None:
+            part = self.parts[client] = Part(self.kept)
+        self.forget_of(part, now, AT_ONCE)
+        entry = part.entries.get(key)
+        if entry is None and record is not None and (known := part.records.get(record)) is not None:
             # Guards against two records that look alike to the key: a difference in content makes them two.
             if known.content == content:
                 entry = known
         if entry is not None:
             return (AGAIN, entry) if entry.answer is not None else (JOINS, entry)
-        if len(self.entries) >= self.most and not self.make_room():
-            return FULL, None
-        entry = self.entries[key] = Entry(record, now + self.kept, content=content)
+        if len(part.entries) >= part.guaranteed:
+            if self.lent >= self.common:
+                return FULL, None
+            self.lent += 1
+        entry = part.entries[key] = Entry(part, key, record, content, now + part.kept)
         if record is not None:
-            self.records.setdefault(record, key)
+            part.records.setdefault(record, entry)
         return NEW, entry
 
-    def answered(self, key: Key, answer: bytes, now: int) -> None:
+    def answered(self, entry: Entry[T], answer: bytes, now: int) -> None:
         """A request has its final answer, which its retransmissions are given for a while."""
-        if (entry := self.entries.get(key)) is not None:
-            entry.answer, entry.task, entry.until = answer, None, now + self.kept
-            self.entries.move_to_end(key)
+        entry.answer = answer
+        self.ended(entry, now)
+
+    def ended(self, entry: Entry[T], now: int) -> None:
+        """A request ended; without an answer it may have run: its tries are met with silence for a while."""
+        entry.task = None
+        if entry.key in entry.part.entries:
+            entry.until = now + entry.part.kept
+            entry.part.entries.move_to_end(entry.key)
 
-    def given_up(self, key: Key) -> None:
+    def given_up(self, entry: Entry[T]) -> None:
         """A request ended without an answer, and never ran: its next try may be taken as new."""
-        self.drop(key)
-
-    def ended(self, key: Key, now: int) -> None:
-        """A request ended without an answer, and may have run: for a while its tries are met with silence."""
-        if (entry := self.entries.get(key)) is not None:
-            entry.task, entry.until = None, now + self.kept
-            self.entries.move_to_end(key)
-
-    def make_room(self) -> bool:
-        """Let go of the oldest whose answer is known."""
-        for key, entry in self.entries.items():
-            if entry.answer is not None:
-                self.drop(key)
-                return True
-        return False
-
-    def forget(self, now: int) -> None:
-        """Let go of what is old. What is still out stays: its end says what becomes of it."""
-        while self.entries:
-            key, entry = next(iter(self.entries.items()))
+        part = entry.part
+        if part.entries.pop(entry.key, None) is not None and len(part.entries) >= part.guaranteed:
+            self.lent -= 1
+        if entry.record is not None and part.records.get(entry.record) is entry:
+            del part.records[entry.record]
+
+    def forget(self, now: int, most: int = 4096) -> None:
+        """Let go of what is old, so many of each client at once at the most."""
+        for name, part in list(self.parts.items()):
+            self.forget_of(part, now, most)
+            if not part.entries and not part.guaranteed:
+                del self.parts[name]
+
+    def forget_of(self, part: Part[T], now: int, most: int) -> None:
+        """What is still out stays, and is looked at again later: its end says what becomes of it."""
+        entries = part.entries
+        for _ in range(min(most, len(entries))):
+            entry = next(iter(entries.values()))
             if entry.until > now:
                 return
             if entry.task is not None:
-                entry.until = now + self.kept
-                self.entries.move_to_end(key)
-                continue
-            self.drop(key)
-
-    def drop(self, key: Key) -> None:
-        entry = self.entries.pop(key, None)
-        if entry is not None and entry.record is not None and self.records.get(entry.record) == key:
-            del self.records[entry.record]
+                entry.until = now + part.kept
+                entries.move_to_end(entry.key)
+            else:
+                self.given_up(entry)
 
 
 def content(packet: Packet) -> bytes:
--- a/whinpier/radius/packet.py
+++ b/whinpier/radius/packet.py
@@ -21,6 +21,9 @@
 NAS_IPV6 = 95
 START, STOP, INTERIM, ON, OFF = 1, 2, 3, 7, 8  # values of Acct-Status-Type
 STATUSES = {START: "start", STOP: "stop", INTERIM: "interim", ON: "on", OFF: "off"}
+# What decides, with the bytes that it has; 0: any number but none.
+LENGTHS = {USER_NAME: 0, NAS_IP: 4, NAS_IDENTIFIER: 0, STATUS_TYPE: 4, DELAY_TIME: 4, SESSION_ID: 0,
+           EVENT_TIMESTAMP: 4, NAS_IPV6: 16}
 MOST_PROXIES = 8  # Proxy-States in a packet: more is a loop
 
 
@@ -144,6 +147,26 @@
     check_message(packet, secret, NOTHING, needed)
 
 
+def check_record(packet: Packet) -> None:
+    """Raises BadPacket for a record that can be read two ways, before anything of it is remembered.
+
+    What decides (whose record it is, of which session, what it tells) is there once, of the length that its
+    type has (RFC 2866, section 5.13).
+    """
+    if len(packet.all(PROXY_STATE)) > MOST_PROXIES:
+        raise BadPacket("more proxies than a way has: a loop")
+    met: set[int] = set()
+    for kind, value in packet.attributes:
+        if kind in LENGTHS:
+            if kind in met:
+                raise BadPacket(f"attribute {kind}, which decides, comes twice")
+            met.add(kind)
+            if LENGTHS[kind] and len(value) != LENGTHS[kind] or not value:
+                raise BadPacket(f"attribute {kind} has {len(value)} bytes")
+    if STATUS_TYPE not in met:
+        raise BadPacket("no Acct-Status-Type")
+
+
 def check_answer(packet: Packet, data: bytes, asked: Packet, secret: bytes, needed: bool) -> None:
     """Whether an answer is proved, and is one to what was asked. Raises BadPacket."""
     if packet.code != ACCOUNTING_RESPONSE:
--- a/whinpier/radius/spec.py
+++ b/whinpier/radius/spec.py
@@ -20,6 +20,7 @@
     secrets: tuple[bytes, ...]
     signed: bool = True  # a Message-Authenticator is needed, against forged packets
     most: int = 2_000  # packets a second that are looked at
+    kept: int = 0  # nanoseconds that its answers are given again; 0: as the whole says
 
 
 @dataclass(frozen=True)
--- a/whinpier/radius/tables.py
+++ b/whinpier/radius/tables.py
@@ -34,6 +34,7 @@
     secret_files: list[str] = []
     signed: bool = True
     most: Count = 2_000
+    kept: Duration | None = None
 
 
 class RecordRouteTable(Strict, frozen=True):
@@ -94,7 +95,8 @@
         secrets += [kept_secret(path, f"{at}.secret_files") for path in client.secret_files]
         if not networks or not secrets or not all(secrets) or len(secrets) > 4:
             raise ConfigFault(f"{at}: needs networks, and one to four secrets that are not empty")
-        clients.append(ClientSpec(name, tuple(networks), tuple(secrets), client.signed, client.most))
+        clients.append(ClientSpec(name, tuple(networks), tuple(secrets), client.signed, client.most,
+                                  duration(client.kept, f"{at}.kept", UNITS["s"]) if client.kept else 0))
     if not clients:
         raise ConfigFault("radius.clients: none is named")
     numbers = {text: number for number, text in STATUSES.items()}
--- a/whinpier/standin/files.py
+++ b/whinpier/standin/files.py
@@ -67,11 +67,11 @@
 
 
 def records(radius: str, servers: Mapping[str, str], secrets: list[str], kind: str = "exclusive",
-            agreed: float = 0.5, patience: float = 3.0, retransmit: float = 0.15) -> Plain:
+            agreed: float = 0.5, patience: float = 3.0, retransmit: float = 0.15, **more: Any) -> Plain:
     """The RADIUS side of an operator's file, and the pool `acct` that all records go to."""
     pool = service("record", kind, servers, agreed, patience) | {
         "protocol": "radius", "radius": {"secret": "server", "retransmit": ms(retransmit)}}
     return {"pools": {"acct": pool},
-            "radius": {"listen": [radius], "clients": {"partner": {"networks": ["127.0.0.0/8"],
+            "radius": more | {"listen": [radius], "clients": {"partner": {"networks": ["127.0.0.0/8"],
                                                                     "secrets": secrets}},
                        "routes": [{"name": "all", "pool": "acct"}]}}
