RADIUS state file: after kill -9 at any moment no record runs twice

Change: radius/state.py, an append-only file of CRC-checked MessagePack notes, written in batches beside the loop, compacted into a new file that takes its place in one step, locked, bounded; with `first`, which is the default, a record goes out only once its note is synced. A tear at the end is cut and said, damage before the end refuses the start with one line. Where notes can't be written (disk full) nothing new is taken, and all is written later. A configuration that fails while the process is put together ends with exit 2 and one line.

--- a/benchmarks/radius.py
+++ b/benchmarks/radius.py
@@ -13,10 +13,12 @@
 import time
 from collections import Counter
 from pathlib import Path
+from random import Random
 from typing import Any
 
 from benchmarks.common import Report, apart, main
 from whinpier.standin import files
+from whinpier.standin.files import Plain
 from whinpier.standin.clients import Asks, Gateway
 from whinpier.standin.fleet import Fleet
 from whinpier.standin.load import Load
@@ -108,6 +110,40 @@
         server.stop()
 
 
+EACH, BURST = 60, 400.0  # records of a round, and a second
+
+
+async def killed(seed: int, rounds: int, state: Plain | None, folder: Path) -> dict[str, Any]:
+    """kill -9 at random moments under load; after each the next run gets all of the round again."""
+    server = Server("r0", b"server", Behaviour(delay=0.01, forgets=True), Weather(), seed)
+    chance = Random(seed)
+    await server.start()
+    listen, radius = free_address(), free_address()
+    more: Plain = {"state": {"file": str(folder / "state")} | state} if state is not None else {}
+    whole = files.records(radius, {"r0": f"127.0.0.1:{server.port}"}, ["partner"], kept="60s", **more)
+    text = files.document({"version": 1, "listen": [listen], **whole})
+    host, _, port = radius.rpartition(":")
+    burst = Burst((host, int(port)), b"partner")
+    packets = [record(number, b"partner") for number in range(EACH * rounds)]
+    starts, lost = list[float](), 0
+    for turn in range(rounds):
+        first = turn * EACH
+        for again in (False, True):
+            begun = time.monotonic()
+            balancer = Balancer(folder / f"{turn}{again}", operator=text, listen=listen, cores={apart()[0]})
+            await asyncio.to_thread(balancer.wait_ready)
+            starts.append(time.monotonic() - begun)
+            sending = asyncio.create_task(burst.send(packets[first:first + EACH], BURST, first))
+            await asyncio.sleep(EACH / BURST * chance.uniform(0.1, 1.1) if not again else EACH / BURST + 0.3)
+            await asyncio.to_thread(balancer.stop, again)
+            lost += balancer.log().count("level=error") + balancer.log().count("event=broken")
+            await sending
+    burst.close()
+    server.stop()
+    return {"ran": server.ran, "answered": len(burst.answers), "sent": len(packets), "start": max(starts),
+            "faults": lost, "size": (folder / "state").stat().st_size if state is not None else 0}
+
+
 def share(told: list[Any]) -> float:
     return sum(bool(one.answers) and one.latency <= AGREED for one in told) / max(1, len(told))
 
@@ -151,6 +187,18 @@
     report.bound("full memory: records that ran twice", sum(n > 1 for n in met["ran"].values()), most=0)
     report.bound("full memory: records with two answers", max(0, met["contents"] - 1), most=0)
     report.bound("full memory: part of the room that was used", met["answered"] / most, least=0.95)
+    rounds = 6 if given.short else 50
+    for name, state in (("no state file", None), ("state file", {})):
+        with tempfile.TemporaryDirectory() as folder:
+            met = asyncio.run(killed(given.seed, rounds if state else min(rounds, 10), state, Path(folder)))
+        twice = sum(n > 1 for n in met["ran"].values())
+        report.say(f"     killed, {name}: {met['sent']} records, {len(met['ran'])} ran, {twice} twice, "
+                   f"{met['answered']} answered, slowest start {met['start']:.2f} s, {met['size']} bytes")
+        report.figure(f"twice_with_{name.replace(' ', '_')}", twice)
+        if state:
+            report.bound(f"kill -9 in {rounds} rounds: records that ran twice", twice, most=0)
+            report.bound("kill -9: faults in the log", met["faults"], most=0)
+            report.bound("kill -9: part of the records that ran", len(met["ran"]) / met["sent"], least=0.9)
     report.bound("lossy: answered", sum(bool(one.answers) for one in lossy["told"]) / len(lossy["told"]),
                  least=0.99)
     packets = calm["packets"]
--- a/tests/test_radius.py
+++ b/tests/test_radius.py
@@ -27,6 +27,7 @@
 from whinpier.radius.idents import EACH, Idents
 from whinpier.radius.packet import BadPacket, Packet
 from whinpier.radius.spec import ClientSpec, RouteSpec, client_of
+from whinpier.radius.state import State, StateSpec, Torn, notes
 from whinpier.spec import ConfigFault
 from whinpier.standin import files
 from whinpier.standin.process import Balancer, free_address
@@ -268,6 +269,127 @@
     assert [taken(*one) for one in asked] == ["realm", "stops", "below", "any"]
 
 
+# The state file.
+
+
+def kept_in(tmp_path, **more):
+    """A memory with its state file, which is flushed by hand."""
+    memory = keys.Memory(kept=10 * SECOND, most=64, clients=["c"])
+    state = State(StateSpec(str(tmp_path / "state"), **more), lambda: 0)
+    state.open(memory)
+    return memory, state
+
+
+def reopened(tmp_path):
+    memory, state = kept_in(tmp_path)
+    state.close()
+    return memory
+
+
+def test_what_may_have_run_and_what_was_answered_is_known_after_a_restart(tmp_path):
+    memory, state = kept_in(tmp_path)
+    packets = [record(session=b"%d" % number) for number in range(4)]
+    entries = [meet(memory, packet)[1] for packet in packets]
+    entries[0].task = "out"
+    memory.answered(entries[1], b"answer", 0)
+    memory.ended(entries[2], 0)
+    memory.given_up(entries[3])
+    state.close()
+    memory, state = kept_in(tmp_path)
+    assert [meet(memory, packet)[0] for packet in packets] == [keys.JOINS, keys.AGAIN, keys.JOINS, keys.NEW]
+    known = meet(memory, record(session=b"1", delay=7))  # by its record, in other words
+    assert known[0] == keys.AGAIN and known[1].answer == b"answer"
+    assert meet(memory, packets[0])[1].task is None
+    with pytest.raises(Torn, match="another process"):
+        kept_in(tmp_path)
+    state.close()
+    assert len(reopened(tmp_path)) == 4
+
+
+def test_killed_at_any_byte_of_a_write_the_notes_before_it_are_known(tmp_path):
+    memory, state = kept_in(tmp_path)
+    for number in range(4):
+        memory.answered(meet(memory, record(session=b"%d" % number))[1], b"answer %d" % number, 0)
+    state.close()
+    whole = (tmp_path / "state").read_bytes()
+    ends = [end for end, _ in notes("f", whole)]
+    assert len(ends) == 8 and ends[-1] == len(whole)
+    for cut in range(len(whole)):
+        (tmp_path / "state").write_bytes(whole[:cut])
+        memory, state = kept_in(tmp_path)
+        state.close()
+        # Each request has two notes, the second its answer.
+        assert len(memory) == (sum(end <= cut for end in ends) + 1) // 2, cut
+        assert (tmp_path / "state").stat().st_size == max([24, *(end for end in ends if end <= cut)])
+    (tmp_path / "state").write_bytes(whole + bytes(300))  # as a file system may leave it
+    assert len(reopened(tmp_path)) == 4
+
+
+def test_a_byte_that_was_changed_is_a_tear_at_the_end_or_refuses_the_file_never_another_record(tmp_path):
+    memory, state = kept_in(tmp_path)
+    for number in range(3):
+        memory.answered(meet(memory, record(session=b"%d" % number))[1], b"answer", 0)
+    state.close()
+    whole, refused = (tmp_path / "state").read_bytes(), 0
+    good = list(notes("f", whole))
+    for at in range(len(whole)):
+        changed = bytearray(whole)
+        changed[at] ^= 0x41
+        try:
+            found = list(notes("f", bytes(changed)))
+        except Torn:
+            refused += 1
+            continue
+        assert found == good[:len(found)] and len(found) < len(good)
+    assert refused > len(whole) * 2 // 3
+    (tmp_path / "state").write_bytes(b"something else altogether, of another program")
+    with pytest.raises(Torn, match="move it away"):
+        kept_in(tmp_path)
+
+
+def test_where_notes_cannot_be_written_nothing_new_is_taken_and_all_are_written_later(tmp_path, monkeypatch):
+    memory, state = kept_in(tmp_path, first=True)
+    write, told = os.pwrite, []
+
+    def full(file, data, at):
+        write(file, data[:5], at)
+        raise OSError(28, "No space left on device")
+
+    async def story():
+        meet(memory, record(session=b"a"))
+        state.once_kept(lambda: told.append("a"))
+        monkeypatch.setattr(os, "pwrite", full)
+        await state.flush()
+        assert not told and not state.takes() and state.size == 24
+        monkeypatch.setattr(os, "pwrite", write)
+        await state.flush()
+        assert told == ["a"] and state.takes()
+
+    anyio.run(story)
+    state.close()
+    assert len(reopened(tmp_path)) == 1
+
+
+def test_a_state_file_is_written_anew_before_it_holds_many_times_what_is_live(tmp_path):
+    memory, state = kept_in(tmp_path)
+
+    async def story():
+        for number in range(300):
+            entry = meet(memory, record(session=b"%d" % number))[1]
+            memory.answered(entry, bytes(100), 0)
+            if number < 290:
+                memory.given_up(entry)
+            await state.flush()
+        before = state.size
+        await state.compact(memory)
+        meet(memory, record(session=b"last"))
+        assert state.size < before / 20
+
+    anyio.run(story)
+    state.close()
+    assert len(reopened(tmp_path)) == 11 and not (tmp_path / "state.new").exists()
+
+
 # Over sockets.
 
 
@@ -364,6 +486,31 @@
     play(tmp_path, [Behaviour(delay=0.001, forgets=True)], story, most=256, kept="30s")
 
 
+def test_after_kill_9_the_next_run_repeats_nothing_and_a_damaged_file_starts_nothing(tmp_path):
+    async def story(servers, balancer, address, other):
+        burst = Burst(address, SECRET)
+        packets = [record_packet(number, SECRET) for number in range(60)]
+        await burst.send(packets, 600.0)
+        await asyncio.to_thread(balancer.stop, False)  # with some still out
+        again = Balancer(tmp_path / "again", operator=balancer.file.read_text(), listen=balancer.listen)
+        await asyncio.to_thread(again.wait_ready)
+        await burst.send(packets, 600.0)
+        await anyio.sleep(0.3)
+        assert max(ran(servers).values()) == 1 and len(burst.answers) > 40
+        burst.close()
+        await asyncio.to_thread(again.stop)
+        assert again.process.returncode == 0 and "event=radius_state " in again.log()
+        state = tmp_path / "state"
+        data = bytearray(state.read_bytes())
+        data[200] ^= 1
+        state.write_bytes(data)
+        third = Balancer(tmp_path / "third", operator=balancer.file.read_text(), listen=balancer.listen)
+        assert await asyncio.to_thread(third.process.wait, LIMIT) == 2
+        assert len(third.log().splitlines()) == 1 and "is damaged at byte" in third.log()
+
+    play(tmp_path, [Behaviour(delay=0.02, forgets=True)], story, state={"file": str(tmp_path / "state")})
+
+
 def test_a_server_that_takes_datagrams_and_never_answers_is_left_to_trials(tmp_path):
     async def story(servers, balancer, address, _):
         nas = await client(address, rate=150.0, first=2.5, tries=0)
@@ -523,6 +670,8 @@
     ('name = "all"', 'name = "all"\nstatuses = ["begin"]', "radius.routes[0].statuses[0]: 'begin' is none"),
     ('name = "all"', 'name = "all"\nclient = "x"', "radius.routes.all.client: 'x' is none of partner"),
     ("[radius]\n", "[radius]\nport = 1\n", "radius.port: is no key here"),
+    ("[radius]\n", '[radius]\nstate = { file = "here" }\n', "radius.state.file: 'here' is no whole path"),
+    ("[radius]\n", '[radius]\nstate = { file = "/x", sync = "0s" }\n', "radius.state.sync: '0s' is not"),
     ("[[radius.routes]]", '[[radius.routes]]\nname = "a"\npool = "acct"\n[[radius.routes]]',
      "radius.routes.all: takes"),
 ])
--- a/whinpier/__main__.py
+++ b/whinpier/__main__.py
@@ -67,7 +67,12 @@
         if spec.beside:
             from whinpier.radius.wire import WithRadius  # only where a file has it
             wire = WithRadius(datagrams)
-        anyio.run(run, streams, Life(spec, wire, reread, changed))
+        try:
+            life = Life(spec, wire, reread, changed)
+        except ConfigFault as fault:
+            log.warn("configuration_fault", fault=fault)
+            return 2
+        anyio.run(run, streams, life)
     finally:
         for sock in (*streams, *datagrams):
             sock.close()
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -310,7 +310,7 @@
         ready = sorted((up.seen for up in upstreams if up.state == READY), key=lambda seen: seen.upstream.id)
         # Who joins a list is taken up by chance, so that it meets as many balancers as the others.
         part = self.want(len(ready)) / max(1, len(ready)) if self.ready else 0.0
-        pool, known, self.ready = self.pool, self.ready, ready
+        pool, known, self.ready = set(self.pool), set(self.ready), ready
         self.pool = [seen for seen in ready if seen in pool or seen not in known and self.random() < part]
         self.solve()
 
--- a/whinpier/config/operator.py
+++ b/whinpier/config/operator.py
@@ -361,9 +361,10 @@
     """Which keys of the process differ and wait for a restart. A seed that is not given is no change."""
     found = [key for key in KEPT_TILL_RESTART if key != "seed" and getattr(old, key) != getattr(new, key)]
     names = sorted(old.beside.keys() | new.beside.keys())
-    listen = {name: [spec.beside[name].listen if name in spec.beside else () for spec in (old, new)]
-              for name in names}
-    return found + [f"{name}.listen" for name, (before, after) in listen.items() if before != after]
+    for name in names:
+        before, after = (spec.beside[name].till_restart if name in spec.beside else {} for spec in (old, new))
+        found += [f"{name}.{key}" for key in {**before, **after} if before.get(key) != after.get(key)]
+    return found
 
 
 def differences(old: Spec, new: Spec) -> list[str]:
--- a/whinpier/lab/troubles.py
+++ b/whinpier/lab/troubles.py
@@ -22,7 +22,6 @@
          "eager": 1.0, "shift": 3.0}
 BACK = 1  # seconds that a restart takes
 STEPS = 10  # of what goes step by step
-SERVED = 3.0  # seconds that a balancer which is to stop has for what it took
 LEFT = 2.0  # and that an upstream which is replaced has after it drains
 
 
@@ -220,10 +219,16 @@
             if balancer.up and not balancer.leaving:
                 balancer.leaving = True
                 world.front.noticed(balancer, balancer.run)
-                world.clock.after(int(SERVED * SECOND), end, balancer, balancer.run)
+                longest = max(stream.patience for stream in world.experiment.streams)
+                ends = world.clock.now + int(longest * SECOND)
+                world.clock.after(SECOND // 10, end, balancer, balancer.run, ends)
 
-        def end(balancer: Balancer, run: int) -> None:
-            if balancer.run == run:
+        def end(balancer: Balancer, run: int, ends: int) -> None:
+            if balancer.run != run:
+                return
+            if balancer.pool.out and world.clock.now < ends:
+                world.clock.after(SECOND // 10, end, balancer, run, ends)
+            else:
                 world.kill(balancer)
                 world.clock.after(BACK * SECOND, world.start, balancer)
 
--- a/whinpier/radius/front.py
+++ b/whinpier/radius/front.py
@@ -20,6 +20,7 @@
 from whinpier.radius.back import AT_ONCE, BUFFER, Record
 from whinpier.radius.packet import BadPacket, Packet
 from whinpier.radius.spec import ClientSpec, RadiusSpec, client_of
+from whinpier.radius.state import State
 from whinpier.runtime.pool import hashed
 
 if TYPE_CHECKING:
@@ -69,6 +70,9 @@
         self.life, self.loop, self.spec, self.sockets = life, life.loop, spec, sockets
         self.memory: keys.Memory[Asked] = keys.Memory()
         self.follow(spec)
+        self.state = State(spec.state, self.loop.clock) if spec.state else None
+        if self.state:
+            self.state.open(self.memory)
         self.second, self.seen = 0, dict[str, int]()  # packets of each client in this second
 
     def follow(self, spec: RadiusSpec) -> None:
@@ -82,6 +86,8 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
             asyncio.get_running_loop().add_reader(sock, self.came, sock)
             log.say("listening_radius", address="%s:%d" % sock.getsockname())
+        if state := self.state:
+            self.loop.spawn(lambda: state.run(self.memory), lambda: None)
 
     def came(self, sock: socket.socket) -> None:
         for _ in range(AT_ONCE):
@@ -171,6 +177,11 @@
             self.memory.given_up(entry)
             return
         workload = pool.workloads[route.workload.encode()]
+        if self.state and not self.state.takes():
+            # Guards against a record whose next run would not know of it: its client sends it again.
+            log.counts["radius_not_kept"] += 1
+            self.memory.given_up(entry)
+            return
         if self.life.no_room(pool):
             log.counts["turned_back_at_the_door"] += 1
             self.memory.given_up(entry)
@@ -182,7 +193,10 @@
         session = packet.first(wire.SESSION_ID) or b""
         task.key = hashed(session) if session else 0
         entry.task = task
-        pool.take(task)
+        if self.state:
+            self.state.once_kept(lambda: pool.take(task))
+        else:
+            pool.take(task)
 
     # The one final answer.
 
--- a/whinpier/radius/keys.py
+++ b/whinpier/radius/keys.py
@@ -10,8 +10,8 @@
 
 import hashlib
 from collections import OrderedDict
-from collections.abc import Iterable
-from typing import Generic, TypeVar
+from collections.abc import Callable, Iterable
+from typing import Any, Generic, TypeVar
 
 from whinpier.decay import SECOND
 from whinpier.radius import packet as wire
@@ -66,8 +66,8 @@
 class Part(Generic[T]):
     """What is remembered of one client, in the order in which its time is over."""
 
-    def __init__(self, kept: int) -> None:
-        self.kept, self.guaranteed = kept, 0
+    def __init__(self, name: str, kept: int) -> None:
+        self.name, self.kept, self.guaranteed = name, kept, 0
         self.entries: OrderedDict[bytes, Entry[T]] = OrderedDict()
         self.records: dict[bytes, Entry[T]] = {}
 
@@ -82,6 +82,7 @@
 
     def __init__(self, kept: int = 30 * SECOND, most: int = 65_536, clients: Iterable[str] = ()) -> None:
         self.parts: dict[str, Part[T]] = {}
+        self.note: Callable[[str, str, Entry[Any]], None] = lambda kind, client, entry: None
         self.change(kept, most, {name: kept for name in clients})
 
     def __len__(self) -> int:
@@ -95,7 +96,7 @@
         self.kept, self.most = kept, most
         even = int((1.0 - COMMON) * most / max(1, len(clients)))
         for name, own in clients.items():
-            part = self.parts.setdefault(name, Part(own))
+            part = self.parts.setdefault(name, Part(name, own))
             part.kept, part.guaranteed = own, even
         for name, part in self.parts.items():
             part.guaranteed = part.guaranteed if name in clients else 0
@@ -105,9 +106,7 @@
     def meet(self, client: str, key: bytes, record: bytes | None, content: bytes,
              now: int) -> tuple[str, Entry[T] | None]:
         """A request has come: whether it is new, joins one that is out, or is answered as it was before."""
-        part = self.parts.get(client)
-        if part is None:
-            part = self.parts[client] = Part(self.kept)
+        part = self.part(client)
         self.forget_of(part, now, AT_ONCE)
         entry = part.entries.get(key)
         if entry is None and record is not None and (known := part.records.get(record)) is not None:
@@ -120,18 +119,44 @@
             if self.lent >= self.common:
                 return FULL, None
             self.lent += 1
+        entry = self.add(part, key, record, content, now)
+        self.note("n", client, entry)
+        return NEW, entry
+
+    def part(self, client: str) -> Part[T]:
+        if client not in self.parts:
+            self.parts[client] = Part(client, self.kept)
+        return self.parts[client]
+
+    @staticmethod
+    def add(part: Part[T], key: bytes, record: bytes | None, content: bytes, now: int) -> Entry[T]:
         entry = part.entries[key] = Entry(part, key, record, content, now + part.kept)
         if record is not None:
             part.records.setdefault(record, entry)
-        return NEW, entry
+        return entry
+
+    def recall(self, client: str, key: bytes, record: bytes | None, content: bytes, now: int) -> None:
+        """A request that an earlier run met, whatever room there is: it may have run."""
+        part = self.part(client)
+        self.lent += len(part.entries) >= part.guaranteed and key not in part.entries
+        self.add(part, key, record, content, now)
+
+    def find(self, client: str, key: bytes) -> Entry[T] | None:
+        part = self.parts.get(client)
+        return part.entries.get(key) if part else None
 
     def answered(self, entry: Entry[T], answer: bytes, now: int) -> None:
         """A request has its final answer, which its retransmissions are given for a while."""
         entry.answer = answer
-        self.ended(entry, now)
+        self.note("a", entry.part.name, entry)
+        self.put_last(entry, now)
 
     def ended(self, entry: Entry[T], now: int) -> None:
         """A request ended; without an answer it may have run: its tries are met with silence for a while."""
+        self.note("e", entry.part.name, entry)
+        self.put_last(entry, now)
+
+    def put_last(self, entry: Entry[T], now: int) -> None:
         entry.task = None
         if entry.key in entry.part.entries:
             entry.until = now + entry.part.kept
@@ -140,8 +165,9 @@
     def given_up(self, entry: Entry[T]) -> None:
         """A request ended without an answer, and never ran: its next try may be taken as new."""
         part = entry.part
-        if part.entries.pop(entry.key, None) is not None and len(part.entries) >= part.guaranteed:
-            self.lent -= 1
+        if part.entries.pop(entry.key, None) is not None:
+            self.lent -= len(part.entries) >= part.guaranteed
+            self.note("g", part.name, entry)
         if entry.record is not None and part.records.get(entry.record) is entry:
             del part.records[entry.record]
 
--- a/whinpier/radius/spec.py
+++ b/whinpier/radius/spec.py
@@ -8,6 +8,7 @@
 from whinpier.decay import SECOND
 from whinpier.radius import packet as wire
 from whinpier.radius.packet import Packet
+from whinpier.radius.state import StateSpec
 from whinpier.spec import Address
 
 
@@ -77,6 +78,11 @@
     kept: int = 30 * SECOND  # how long an answer is given again
     most: int = 65_536  # requests that are remembered
     records: bool = True  # whether a record is known again by what it says
+    state: StateSpec | None = None  # where what is remembered is kept over restarts
+
+    @property
+    def till_restart(self) -> dict[str, object]:
+        return {"listen": self.listen, "state": self.state}
 
 
 def client_of(clients: tuple[ClientSpec, ...], address: str) -> ClientSpec | None:
--- a/whinpier/radius/tables.py
+++ b/whinpier/radius/tables.py
@@ -9,6 +9,7 @@
 
 from whinpier.radius.packet import STATUSES
 from whinpier.radius.spec import ClientSpec, RadiusSpec, RouteSpec, ServerSpec
+from whinpier.radius.state import StateSpec
 from whinpier.spec import ConfigFault, PoolSpec, address
 from whinpier.tables import UNITS, Count, Duration, Strict, duration, kept_secret, named, part
 
@@ -49,6 +50,15 @@
     nas: str = ""
 
 
+class StateTable(Strict, frozen=True):
+    """Where what is remembered is kept over restarts."""
+
+    file: str
+    sync: Duration = "5ms"
+    first: bool = True
+    on_fault: Literal["refuse", "go_on"] = "refuse"
+
+
 class RadiusTable(Strict, frozen=True):
     """The RADIUS side."""
 
@@ -58,6 +68,7 @@
     kept: Duration = "30s"
     most: Annotated[int, Meta(ge=256, le=4_000_000)] = 65_536
     records: bool = True
+    state: StateTable | None = None
 
 
 def servers(value: Any, at: str) -> ServerSpec:
@@ -124,4 +135,14 @@
     if not routes:
         raise ConfigFault("radius.routes: none is named")
     return RadiusSpec(tuple(listen), tuple(clients), tuple(sorted(routes, key=RouteSpec.rank)),
-                      duration(table.kept, "radius.kept", UNITS["s"]), table.most, table.records)
+                      duration(table.kept, "radius.kept", UNITS["s"]), table.most, table.records,
+                       state(table.state))
+
+
+def state(table: StateTable | None) -> StateSpec | None:
+    if table is None:
+        return None
+    if not table.file.startswith("/"):
+        raise ConfigFault(f"radius.state.file: {table.file!r} is no whole path, from /")
+    return StateSpec(table.file, duration(table.sync, "radius.state.sync", UNITS["ms"]), table.first,
+                     table.on_fault == "refuse")
--- a/whinpier/spec.py
+++ b/whinpier/spec.py
@@ -105,6 +105,10 @@
     def listen(self) -> tuple[Address, ...]:
         """Where its clients send datagrams."""
 
+    @property
+    def till_restart(self) -> dict[str, object]:
+        """What of it a reload leaves as it is, by key."""
+
 
 @dataclass(frozen=True)
 class Spec:
