RADIUS clients and routes compiled: ten thousand realms and NAS prefixes cost what ten do

Need: each packet tried every network of every client, and each new record every route in order; a file of routes was checked by comparing each with all before it. RouteSpec.takes stays as what a route means.

--- a/benchmarks/radius.py
+++ b/benchmarks/radius.py
@@ -12,11 +12,15 @@
 import tempfile
 import time
 from collections import Counter
+from ipaddress import IPv4Network
 from pathlib import Path
 from random import Random
 from typing import Any
 
 from benchmarks.common import Report, apart, main
+from whinpier.radius.packet import Packet
+from whinpier.radius.spec import ClientSpec, RouteSpec
+from whinpier.radius.table import Clients, Routes
 from whinpier.standin import files
 from whinpier.standin.files import Plain
 from whinpier.standin.clients import Asks, Gateway
@@ -144,6 +148,26 @@
             "faults": lost, "size": (folder / "state").stat().st_size if state is not None else 0}
 
 
+def look_up(realms: int) -> float:
+    """Microseconds to find client and route of a record, among so many realms, NAS prefixes and networks."""
+    routes = Routes([RouteSpec(f"r{number}", "p", "w", f"n{number}.example") for number in range(realms)]
+                    + [RouteSpec(f"s{number}", "p", "w", nas=f"bsc-{number}-*") for number in range(realms)])
+    clients = Clients([ClientSpec(f"c{number}", (IPv4Network((167772160 + 256 * number, 24)),), (b"s",))
+                       for number in range(realms)])
+    asked = [(f"10.{number // 256 % 256}.{number % 256}.7", Packet(4, 1, attributes=[
+        (1, b"u@n%d.example" % number if number % 2 else b"u"), (32, b"bsc-%d-9" % number),
+        (40, b"\0\0\0\1")])) for number in (turn * realms // 1000 for turn in range(1000))]
+    best = float("inf")
+    for _ in range(7):
+        begun = time.perf_counter()
+        for address, packet in asked:
+            client = clients.of(address)
+            if client is None or routes.of(packet, client.name) is None:
+                raise RuntimeError(f"{address}: not found")
+        best = min(best, time.perf_counter() - begun)
+    return 1e6 * best / len(asked)
+
+
 def share(told: list[Any]) -> float:
     return sum(bool(one.answers) and one.latency <= AGREED for one in told) / max(1, len(told))
 
@@ -187,6 +211,10 @@
     report.bound("full memory: records that ran twice", sum(n > 1 for n in met["ran"].values()), most=0)
     report.bound("full memory: records with two answers", max(0, met["contents"] - 1), most=0)
     report.bound("full memory: part of the room that was used", met["answered"] / most, least=0.95)
+    few, many = look_up(10), look_up(10_000)
+    report.say(f"     client and route among 10 realms, NAS prefixes and networks: {few:.1f} us, "
+               f"among 10,000: {many:.1f} us")
+    report.bound("look-up among 10,000 over that among 10", many / few, most=2.0)
     rounds = 6 if given.short else 50
     for name, state in (("no state file", None), ("state file", {})):
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/test_radius.py
+++ b/tests/test_radius.py
@@ -6,7 +6,7 @@
 import tomllib
 from collections import Counter, OrderedDict
 from contextlib import contextmanager
-from ipaddress import IPv4Network
+from ipaddress import IPv4Address, IPv4Network
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -26,8 +26,9 @@
 from whinpier.radius.front import Front
 from whinpier.radius.idents import EACH, Idents
 from whinpier.radius.packet import BadPacket, Packet
-from whinpier.radius.spec import ClientSpec, RouteSpec, client_of
+from whinpier.radius.spec import ClientSpec, RouteSpec
 from whinpier.radius.state import State, StateSpec, Torn, notes
+from whinpier.radius.table import Clients, Routes
 from whinpier.spec import ConfigFault
 from whinpier.standin import files
 from whinpier.standin.process import Balancer, free_address
@@ -255,8 +256,8 @@
 def test_the_narrowest_network_and_the_most_specific_route_win():
     clients = (ClientSpec("wide", (IPv4Network("127.0.0.0/8"),), (b"a",)),
                ClientSpec("one", (IPv4Network("127.0.0.1/32"),), (b"b",)))
-    assert [client_of(clients, at).name for at in ("127.0.0.1", "127.9.9.9")] == ["one", "wide"]
-    assert client_of(clients, "10.0.0.1") is None
+    assert [Clients(clients).of(at).name for at in ("127.0.0.1", "127.9.9.9")] == ["one", "wide"]
+    assert Clients(clients).of("10.0.0.1") is None
     routes = sorted([RouteSpec("any", "p", "w"), RouteSpec("below", "p", "w", "*.example"),
                      RouteSpec("realm", "p", "w", "home.example"),
                      RouteSpec("stops", "p", "w", "home.example", frozenset((2,)))], key=RouteSpec.rank)
@@ -269,6 +270,40 @@
     assert [taken(*one) for one in asked] == ["realm", "stops", "below", "any"]
 
 
+realms = st.sampled_from(["", "home.example", "*.example", "*.home.example", "a.home.example", "other"])
+places = st.sampled_from(["", "bsc-1", "bsc-*", "bsc-1*", "*", "msc"])
+routes_made = st.lists(st.builds(
+    lambda realm, client, nas, statuses: (realm, client, nas, frozenset(statuses)), realms,
+    st.sampled_from(["", "c", "d"]), places, st.lists(st.sampled_from([1, 2, 3]), max_size=2)), max_size=25)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(routes_made, st.sampled_from([b"u", b"u@home.example", b"u@A.Home.Example.", b"u@x.a.home.example",
+                                     b"u@other", b"@", b"u@example", b"u@.example"]),
+       st.sampled_from([b"bsc-1", b"bsc-12", b"bsc-2", b"msc", b"x"]), st.sampled_from([1, 2, 8]))
+def test_the_compiled_table_finds_what_trying_each_route_in_order_finds(given_routes, user, nas, status):
+    met, made = {}, []
+    for number, (realm, client, nas_name, statuses) in enumerate(given_routes):
+        alike = met.setdefault((realm, client, nas_name), [])
+        if not any(other & statuses or other == statuses for other in alike):  # as the file is checked
+            alike.append(statuses)
+            made.append(RouteSpec(f"r{number}", "p", "w", realm, statuses, client, nas_name))
+    packet = Packet(4, 1, attributes=[(1, user), (32, nas), (40, status.to_bytes(4, "big"))])
+    first = next((one for one in sorted(made, key=RouteSpec.rank) if one.takes(packet, "c")), None)
+    assert Routes(made).of(packet, "c") is first
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.integers(0, 2**32 - 1), st.integers(0, 32)), max_size=20),
+       st.integers(0, 2**32 - 1))
+def test_the_narrowest_network_is_found_whatever_networks_there_are(made, address):
+    networks = {IPv4Network((number >> (32 - width) << (32 - width), width)) for number, width in made}
+    clients = [ClientSpec(str(network), (network,), (b"s",)) for network in networks]
+    holds = [network for network in networks if IPv4Address(address) in network]
+    found = Clients(clients).of(str(IPv4Address(address)))
+    assert (found and found.name) == (str(max(holds, key=lambda one: one.prefixlen)) if holds else None)
+
+
 # The state file.
 
 
--- a/whinpier/radius/front.py
+++ b/whinpier/radius/front.py
@@ -19,8 +19,9 @@
 from whinpier.radius import packet as wire
 from whinpier.radius.back import AT_ONCE, BUFFER, Record
 from whinpier.radius.packet import BadPacket, Packet
-from whinpier.radius.spec import ClientSpec, RadiusSpec, client_of
+from whinpier.radius.spec import ClientSpec, RadiusSpec
 from whinpier.radius.state import State
+from whinpier.radius.table import Clients, Routes
 from whinpier.runtime.pool import hashed
 
 if TYPE_CHECKING:
@@ -77,7 +78,7 @@
 
     def follow(self, spec: RadiusSpec) -> None:
         """Go on by another configuration: secrets, clients, routes; what is out and remembered stays."""
-        self.spec = spec
+        self.spec, self.clients, self.routes = spec, Clients(spec.clients), Routes(spec.routes)
         self.memory.change(spec.kept, spec.most, {one.name: one.kept or spec.kept for one in spec.clients})
 
     def start(self, listeners: list[socket.socket]) -> None:
@@ -118,7 +119,7 @@
 
     def take(self, sock: socket.socket, data: bytes, source: keys.Source) -> None:
         """One datagram."""
-        client = client_of(self.spec.clients, source[0])
+        client = self.clients.of(source[0])
         if client is None:
             if self.allowed("", STRANGERS):
                 log.note("radius_stranger", source=source[0])
@@ -170,7 +171,7 @@
     def enter(self, sock: socket.socket, source: keys.Source, packet: Packet, client: ClientSpec,
               secret: bytes, entry: keys.Entry[Asked]) -> None:
         """A new record: a task of the pool that its route names."""
-        route = next((route for route in self.spec.routes if route.takes(packet, client.name)), None)
+        route = self.routes.of(packet, client.name)
         pool = self.life.pools.get(route.pool) if route else None
         if route is None or pool is None:
             log.counts["no_route"] += 1
--- a/whinpier/radius/spec.py
+++ b/whinpier/radius/spec.py
@@ -1,9 +1,10 @@
-"""Plain types of what is configured for RADIUS, and which client a datagram is from. Reads no file."""
+"""Plain types of what is configured for RADIUS, and what a route takes. Reads no file."""
 
 from __future__ import annotations
 
+import unicodedata
 from dataclasses import dataclass
-from ipaddress import IPv4Address, IPv4Network
+from ipaddress import IPv4Network
 
 from whinpier.decay import SECOND
 from whinpier.radius import packet as wire
@@ -47,27 +48,40 @@
     realm: str = ""  # after the @ of the user's name; `*.x` for any below; empty: any
     statuses: frozenset[int] = frozenset()
     client: str = ""
-    nas: str = ""
+    nas: str = ""  # `bsc-*`: any whose name begins so
 
     def rank(self) -> tuple[int, ...]:
         """The most specific first."""
         by_realm = 2 if not self.realm else 1 if self.realm.startswith("*.") else 0
-        return by_realm, -len(self.realm), not self.client, not self.nas, not self.statuses
+        by_nas = 2 if not self.nas else 1 if self.nas.endswith("*") else 0
+        return by_realm, -len(self.realm), not self.client, by_nas, -len(self.nas), not self.statuses
 
     def takes(self, packet: Packet, client: str) -> bool:
+        """What it means that a route takes a record; `table.py` finds the first that does."""
         if self.client and self.client != client:
             return False
         if self.statuses and packet.number(wire.STATUS_TYPE) not in self.statuses:
             return False
-        if self.nas and (packet.first(wire.NAS_IDENTIFIER) or b"").decode("utf-8", "replace") != self.nas:
+        nas = (packet.first(wire.NAS_IDENTIFIER) or b"").decode("utf-8", "replace")
+        if self.nas and not (nas.startswith(self.nas[:-1]) if self.nas.endswith("*") else nas == self.nas):
             return False
+        realm = realm_of(packet)
         if not self.realm:
             return True
-        name = (packet.first(wire.USER_NAME) or b"").decode("utf-8", "replace").lower()
-        realm = name.rpartition("@")[2] if "@" in name else ""
         return realm.endswith(self.realm[1:]) if self.realm.startswith("*.") else realm == self.realm
 
 
+def realm_of(packet: Packet) -> str:
+    """The realm of the user's name, after the last @, in one form; empty where it has none."""
+    name = packet.first(wire.USER_NAME) or b""
+    return normal(name.rpartition(b"@")[2].decode("utf-8", "replace")) if b"@" in name else ""
+
+
+def normal(realm: str) -> str:
+    """One form of a realm's name (RFC 7542, 2.3): composed, in small letters, no dot at its end."""
+    return unicodedata.normalize("NFC", realm).lower().removesuffix(".")
+
+
 @dataclass(frozen=True)
 class RadiusSpec:
     """The RADIUS side of a process."""
@@ -83,14 +97,3 @@
     @property
     def till_restart(self) -> dict[str, object]:
         return {"listen": self.listen, "state": self.state}
-
-
-def client_of(clients: tuple[ClientSpec, ...], address: str) -> ClientSpec | None:
-    """Whose address it is: the narrowest network wins."""
-    found, at = None, IPv4Address(address)
-    width = -1
-    for client in clients:
-        for network in client.networks:
-            if at in network and network.prefixlen > width:
-                found, width = client, network.prefixlen
-    return found
--- a/whinpier/radius/tables.py
+++ b/whinpier/radius/tables.py
@@ -8,7 +8,7 @@
 from msgspec import Meta
 
 from whinpier.radius.packet import STATUSES
-from whinpier.radius.spec import ClientSpec, RadiusSpec, RouteSpec, ServerSpec
+from whinpier.radius.spec import ClientSpec, RadiusSpec, RouteSpec, ServerSpec, normal
 from whinpier.radius.state import StateSpec
 from whinpier.spec import ConfigFault, PoolSpec, address
 from whinpier.tables import UNITS, Count, Duration, Strict, duration, kept_secret, named, part
@@ -112,6 +112,7 @@
         raise ConfigFault("radius.clients: none is named")
     numbers = {text: number for number, text in STATUSES.items()}
     routes = list[RouteSpec]()
+    met, names = dict[tuple[str, str, str], list[RouteSpec]](), dict[str, list[RouteSpec]]()
     for index, inner in enumerate(table.routes):
         one = part(inner, RecordRouteTable, f"radius.routes[{index}]")
         at = f"radius.routes.{named(one.name, f'radius.routes[{index}].name')}"
@@ -124,13 +125,17 @@
             raise ConfigFault(f"{at}.workload: {name!r} is none of {', '.join(kinds)}")
         if one.client and one.client not in table.clients:
             raise ConfigFault(f"{at}.client: {one.client!r} is none of {', '.join(table.clients)}")
-        found = RouteSpec(one.name, one.pool, name, one.realm.lower(),
+        found = RouteSpec(one.name, one.pool, name, normal(one.realm),
                           frozenset(numbers[text] for text in one.statuses), one.client, one.nas)
-        for other in routes:
-            same = (found.realm, found.client, found.nas) == (other.realm, other.client, other.nas)
+        if "*" in found.nas[:-1]:
+            raise ConfigFault(f"{at}.nas: {found.nas!r}: a * stands at the end only")
+        alike = met.setdefault((found.realm, found.client, found.nas), [])
+        for other in [*alike, *names.get(found.name, [])]:
             both = found.statuses & other.statuses or found.statuses == other.statuses
-            if other.name == found.name or same and both:
+            if other.name == found.name or both:
                 raise ConfigFault(f"{at}: takes the same records as {other.name}, or has its name")
+        alike.append(found)
+        names[found.name] = [found]
         routes.append(found)
     if not routes:
         raise ConfigFault("radius.routes: none is named")
