whinpier radius explain, send and flood: a packet read aloud, records and load from the command line

Need: an operator who is asked why a partner's records get no answer had a counter and a line of the log; to try a listener needed a client of one's own. Measured: stories of a good, a forged, a strange and a short packet, of send (all answered) and of flood with copies (each ran once).

--- a/tests/test_radius.py
+++ b/tests/test_radius.py
@@ -1,6 +1,7 @@
 """Stories of RADIUS: the codec beside another one, records and retransmissions, a bad network."""
 
 import asyncio
+import json
 import os
 import time
 import tomllib
@@ -12,6 +13,7 @@
 
 import anyio
 import pytest
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from pyrad import packet as other
@@ -19,6 +21,7 @@
 
 from tests.waiting import LIMIT, until
 from whinpier import tables
+from whinpier.cli.main import cli
 from whinpier.config import operator
 from whinpier.decay import SECOND
 from whinpier.radius import keys
@@ -218,6 +221,46 @@
         super().move_to_end(key, last)
 
 
+def test_a_packet_is_read_aloud_with_each_step_or_why_it_is_refused(tmp_path):
+    (tmp_path / "o.toml").write_text(text("127.0.0.1:9000", "127.0.0.1:1813", []).replace(
+        "upstreams = []", 'upstreams = [{ name = "a", address = "127.0.0.1:1" }]'))
+    good = record_packet(7, SECRET, "bsc")
+
+    def told(data, *words):
+        asked = ["radius", "explain", str(tmp_path / "o.toml"), data, "--json", *words]
+        ended = CliRunner().invoke(cli, asked)
+        return ended.exit_code, json.loads(ended.stdout) if ended.exit_code < 2 else ended.stderr
+
+    code, found = told(good.hex())
+    assert code == 0 and found["route"] == "all" and ["Acct-Session-Id", "bsc-7"] in found["attributes"]
+    assert [one["step"] for one in found["steps"]] == ["client", "packet", "proof", "record", "route"]
+    assert "secret 2 of 2" in found["steps"][2]["told"]
+    (tmp_path / "p").write_bytes(good[:-1] + b"!")
+    assert told("@" + str(tmp_path / "p"))[1]["refused"].startswith("an authenticator that is wrong")
+    assert "in no client" in told(good.hex(), "--source", "10.1.1.1")[1]["refused"]
+    assert told("04")[1]["refused"] == "shorter than a head"
+    assert told("xyz")[0] == 2 and told(good.hex(), "--source", "x")[0] == 2
+
+
+def test_the_command_line_sends_records_and_says_what_was_answered(tmp_path):
+    (tmp_path / "secret").write_text("partner\n")
+    (tmp_path / "secret").chmod(0o600)
+
+    async def story(servers, balancer, address, _):
+        target, words = "%s:%d" % address, ["--secret-file", str(tmp_path / "secret"), "--json"]
+        sent = await asyncio.to_thread(CliRunner().invoke, cli, [
+            "radius", "send", target, "--rate", "100", "--seconds", "0.5", "--bind", "127.0.0.1", *words])
+        found = json.loads(sent.output)
+        assert sent.exit_code == 0 and found["answered"] == found["records"] > 20 and found["two_ways"] == 0
+        sent = await asyncio.to_thread(CliRunner().invoke, cli, [
+            "radius", "flood", target, "--records", "50", "--copies", "2", *words])
+        found = json.loads(sent.output)
+        assert sent.exit_code == 0 and (found["answered"], found["answers"]) == (50, 100)
+        assert max(ran(servers).values()) == 1
+
+    play(tmp_path, [Behaviour(delay=0.001, forgets=True)], story)
+
+
 @pytest.mark.parametrize("pairs, why", [
     ([(40, b"\0\0\1")], "attribute 40 has 3 bytes"), ([(40, b"\0\0\0\1")] * 2, "attribute 40, which decides"),
     ([(44, b"s"), (40, b"\0\0\0\1"), (44, b"t")], "attribute 44, which decides"),
--- a/whinpier/cli/main.py
+++ b/whinpier/cli/main.py
@@ -15,6 +15,7 @@
 import click
 
 from whinpier.cli.lab import lab
+from whinpier.cli.radius import radius
 from whinpier.cli.shown import FILE, fail, show
 from whinpier.spec import ConfigFault, Spec
 
@@ -193,3 +194,4 @@
 
 
 cli.add_command(lab)
+cli.add_command(radius)
--- a/whinpier/radius/front.py
+++ b/whinpier/radius/front.py
@@ -129,7 +129,7 @@
             log.counts["radius_flood"] += 1
             return
         packet = wire.parse(data)
-        secret = self.proved(packet, data, client)
+        secret = client.secrets[wire.proved_by(packet, data, client.secrets, client.signed)]
         if packet.code == wire.STATUS_SERVER:
             # RFC 5997: it asks whether this end lives.
             if self.life.ready():
@@ -159,15 +159,6 @@
             if len(others) < 16 and all(other[4] != key for other in others):
                 others.append((sock, source, packet, secret, key))
 
-    def proved(self, packet: Packet, data: bytes, client: ClientSpec) -> bytes:
-        """The secret of a client that a packet is proved by. Raises BadPacket where none is."""
-        for secret in client.secrets[:-1]:
-            with suppress(BadPacket):
-                wire.check_request(packet, data, secret, client.signed)
-                return secret
-        wire.check_request(packet, data, client.secrets[-1], client.signed)
-        return client.secrets[-1]
-
     def enter(self, sock: socket.socket, source: keys.Source, packet: Packet, client: ClientSpec,
               secret: bytes, entry: keys.Entry[Asked]) -> None:
         """A new record: a task of the pool that its route names."""
--- a/whinpier/radius/packet.py
+++ b/whinpier/radius/packet.py
@@ -10,6 +10,7 @@
 import hashlib
 import hmac
 import struct
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 ACCOUNTING_REQUEST, ACCOUNTING_RESPONSE, STATUS_SERVER = 4, 5, 12
@@ -147,6 +148,16 @@
     check_message(packet, secret, NOTHING, needed)
 
 
+def proved_by(packet: Packet, data: bytes, secrets: tuple[bytes, ...], needed: bool) -> int:
+    """Which of the secrets that hold just now a request is proved by. Raises BadPacket where none is."""
+    for number, secret in enumerate(secrets[:-1]):
+        with suppress(BadPacket):
+            check_request(packet, data, secret, needed)
+            return number
+    check_request(packet, data, secrets[-1], needed)
+    return len(secrets) - 1
+
+
 def check_record(packet: Packet) -> None:
     """Raises BadPacket for a record that can be read two ways, before anything of it is remembered.
 
--- a/whinpier/standin/radius.py
+++ b/whinpier/standin/radius.py
@@ -237,11 +237,11 @@
     def __init__(self, name: str, address: tuple[str, int], secret: bytes, rate: float, seed: int = 0,
                  weather: Weather | None = None, first: float = 0.5, tries: int = 4,
                  delay_time: bool = True, realm: str = "home.example",
-                 statuses: tuple[int, ...] = (1, 2)) -> None:
+                 statuses: tuple[int, ...] = (1, 2), bind: str = "127.0.0.1") -> None:
         self.name, self.address, self.secret, self.rate = name, address, secret, rate
         self.chance, self.weather = Random(f"{seed}/{name}"), weather or Weather()
         self.first, self.tries, self.delay_time = first, tries, delay_time
-        self.realm, self.statuses = realm, statuses
+        self.realm, self.statuses, self.bind = realm, statuses, bind
         self.idents = deque(range(256))
         self.out: dict[int, tuple[bytes, Told]] = {}
         self.last: dict[int, tuple[bytes, Told]] = {}  # of identifiers that are free again
@@ -251,7 +251,7 @@
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, ("127.0.0.1", 0))
+        await loop.create_datagram_endpoint(lambda: self, (self.bind, 0))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)  # which it is, and does not say
