RADIUS over TCP and TLS from clients: records in a stream, certificates matched to clients by name

Need: partners that send accounting over TCP (RFC 6613) or TLS (RFC 6614) had no way in; over UDP alone a record is bound to one datagram and a secret. Change: radius/stream.py: packets split out of a stream free of I/O, a connection as the space of its identifiers, bounded accepting, deadlines for handshakes, half packets and idle peers, reading held back past a client's rate; TLS contexts made anew at each reload, key files and validity looked at when they are read. The front takes a packet however it came (Way); a record is known over both transports. The platform imports none of it.

--- a/tests/test_radius.py
+++ b/tests/test_radius.py
@@ -31,6 +31,7 @@
 from whinpier.radius.packet import BadPacket, Packet
 from whinpier.radius.spec import ClientSpec, RouteSpec
 from whinpier.radius.state import State, StateSpec, Torn, notes
+from whinpier.radius.stream import Datagrams
 from whinpier.radius.table import Clients, Routes
 from whinpier.spec import ConfigFault
 from whinpier.standin import files
@@ -274,14 +275,14 @@
 
 
 def test_an_answer_that_fits_in_no_packet_goes_without_what_the_server_said():
-    whose = ClientSpec("c", (), (SECRET,))
+    way = Datagrams(None, ("127.0.0.1", 1), ClientSpec("c", (), (SECRET,)))
     states = [(33, bytes(253))] * 8
     asked = wire.parse(wire.sealed(Packet(4, 1, attributes=[(40, b"\0\0\0\1"), *states]), SECRET, True))
-    data = Front.answer_to(asked, SECRET, whose, [(25, bytes(253))] * 9)
+    data = Front.answer_to(asked, SECRET, way, [(25, bytes(253))] * 9)
     reply = wire.parse(data)
     wire.check_answer(reply, data, asked, SECRET, True)
     assert [pair for pair in reply.attributes if pair[0] != 80] == states
-    small = wire.parse(Front.answer_to(asked, SECRET, whose, [(25, b"c")]))
+    small = wire.parse(Front.answer_to(asked, SECRET, way, [(25, b"c")]))
     assert (25, b"c") in small.attributes
 
 
--- a/whinpier/__main__.py
+++ b/whinpier/__main__.py
@@ -53,10 +53,12 @@
         return 2
     streams: list[socket.socket] = []
     datagrams: list[socket.socket] = []
+    further: list[socket.socket] = []  # streams of protocols beside HTTP
     try:
         asked = [(streams, socket.SOCK_STREAM, address) for address in spec.listen]
-        asked += [(datagrams, socket.SOCK_DGRAM, address) for beside in spec.beside.values()
-                  for address in beside.listen]
+        for beside in spec.beside.values():
+            asked += [(datagrams, socket.SOCK_DGRAM, address) for address in beside.listen]
+            asked += [(further, socket.SOCK_STREAM, one.listen) for one in beside.streams]
         for sockets, kind, address in asked:
             try:
                 sockets.append(bound(kind, address))
@@ -66,7 +68,7 @@
         wire = Http1()
         if spec.beside:
             from whinpier.radius.wire import WithRadius  # only where a file has it
-            wire = WithRadius(datagrams)
+            wire = WithRadius(datagrams, further)
         try:
             life = Life(spec, wire, reread, changed)
         except ConfigFault as fault:
@@ -74,7 +76,7 @@
             return 2
         anyio.run(run, streams, life)
     finally:
-        for sock in (*streams, *datagrams):
+        for sock in (*streams, *datagrams, *further):
             sock.close()
     return 0
 
--- a/whinpier/radius/front.py
+++ b/whinpier/radius/front.py
@@ -21,6 +21,7 @@
 from whinpier.radius.packet import BadPacket, Packet
 from whinpier.radius.spec import ClientSpec, RadiusSpec
 from whinpier.radius.state import State
+from whinpier.radius.stream import Datagrams, Streams, Way
 from whinpier.radius.table import Clients, Routes
 from whinpier.runtime.pool import hashed
 
@@ -33,18 +34,17 @@
 class Asked(Record):
     """A record with whoever waits for its answer."""
 
-    __slots__ = ("front", "client", "secret", "source", "sock", "entry", "over", "others")
+    __slots__ = ("front", "client", "secret", "way", "entry", "over", "others")
 
     def __init__(self, number: int, workload: Workload, came: int, ends: int, front: Front, packet: Packet,
-                 entry: keys.Entry[Asked], client: ClientSpec, secret: bytes, source: keys.Source,
-                 sock: socket.socket) -> None:
+                 entry: keys.Entry[Asked], client: ClientSpec, secret: bytes, way: Way) -> None:
         super().__init__(number, workload, came, ends)
-        self.client, self.secret, self.source, self.sock = client, secret, source, sock
+        self.client, self.secret, self.way = client, secret, way
         self.front, self.packet, self.entry = front, packet, entry
         self.id_given = b""
         self.over = False
         # Who else has sent it since, in other words; each is answered in its own.
-        self.others: list[tuple[socket.socket, keys.Source, Packet, bytes, bytes]] = []
+        self.others: list[tuple[Way, Packet, bytes, bytes]] = []
 
     def waited_for(self) -> bool:
         return not self.over
@@ -67,9 +67,12 @@
 class Front:
     """All RADIUS listeners of the process."""
 
-    def __init__(self, life: Life, spec: RadiusSpec, sockets: list[socket.socket]) -> None:
+    def __init__(self, life: Life, spec: RadiusSpec, sockets: list[socket.socket],
+                 listeners: list[socket.socket]) -> None:
         self.life, self.loop, self.spec, self.sockets = life, life.loop, spec, sockets
+        self.now = self.loop.clock()
         self.memory: keys.Memory[Asked] = keys.Memory()
+        self.streams = Streams(self, listeners)
         self.follow(spec)
         self.state = State(spec.state, self.loop.clock) if spec.state else None
         if self.state:
@@ -79,6 +82,8 @@
     def follow(self, spec: RadiusSpec) -> None:
         """Go on by another configuration: secrets, clients, routes; what is out and remembered stays."""
         self.spec, self.clients, self.routes = spec, Clients(spec.clients), Routes(spec.routes)
+        self.named = {name: client for client in spec.clients for name in client.names}
+        self.streams.follow(spec.contexts)
         self.memory.change(spec.kept, spec.most, {one.name: one.kept or spec.kept for one in spec.clients})
 
     def start(self, listeners: list[socket.socket]) -> None:
@@ -86,7 +91,8 @@
             with suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
             asyncio.get_running_loop().add_reader(sock, self.came, sock)
-            log.say("listening_radius", address="%s:%d" % sock.getsockname())
+            log.say("listening_radius", address="%s:%d" % sock.getsockname(), over="UDP")
+        self.streams.start()
         if state := self.state:
             self.loop.spawn(lambda: state.run(self.memory), lambda: None)
 
@@ -128,21 +134,25 @@
         if not self.allowed(client.name, client.most):
             log.counts["radius_flood"] += 1
             return
+        self.request(Datagrams(sock, source, client), data, client)
+
+    def request(self, way: Way, data: bytes, client: ClientSpec) -> None:
+        """One packet of a client, however it came. Raises BadPacket."""
         packet = wire.parse(data)
-        secret = client.secrets[wire.proved_by(packet, data, client.secrets, client.signed)]
+        secret = way.secrets[wire.proved_by(packet, data, way.secrets, way.signed)]
         if packet.code == wire.STATUS_SERVER:
-            # RFC 5997: it asks whether this end lives.
+            # RFC 5997, and the watchdog of RFC 3539: it asks whether this end lives.
             if self.life.ready():
-                self.send(sock, wire.answer(packet, secret, True), source)
+                self.send(way, wire.answer(packet, secret, True))
             return
         wire.check_record(packet)
-        key = keys.wire_key(source, packet)
+        key = keys.wire_key(way.source, packet)
         record = keys.record_key(packet, client.name) if self.spec.records else None
         met, entry = self.memory.meet(client.name, key, record, keys.content(packet), self.loop.clock())
         if met == keys.NEW:
             assert entry is not None
             log.counts["radius_requests"] += 1
-            self.enter(sock, source, packet, client, secret, entry)
+            self.enter(way, packet, client, secret, entry)
             return
         log.counts["radius_" + met.replace(" ", "_")] += 1
         if entry is None:
@@ -152,15 +162,15 @@
         if met == keys.AGAIN and entry.answer is not None:
             # Another packet with the same record is answered in its own words, the same packet in the same.
             answer = entry.answer if entry.key == key else self.answer_to(
-                packet, secret, client, wire.parse(entry.answer).attributes)
-            self.send(sock, answer, source)
+                packet, secret, way, wire.parse(entry.answer).attributes)
+            self.send(way, answer)
         elif met == keys.JOINS and entry.task and entry.key != key:
             others = entry.task.others
-            if len(others) < 16 and all(other[4] != key for other in others):
-                others.append((sock, source, packet, secret, key))
+            if len(others) < 16 and all(other[3] != key for other in others):
+                others.append((way, packet, secret, key))
 
-    def enter(self, sock: socket.socket, source: keys.Source, packet: Packet, client: ClientSpec,
-              secret: bytes, entry: keys.Entry[Asked]) -> None:
+    def enter(self, way: Way, packet: Packet, client: ClientSpec, secret: bytes,
+              entry: keys.Entry[Asked]) -> None:
         """A new record: a task of the pool that its route names."""
         route = self.routes.of(packet, client.name)
         pool = self.life.pools.get(route.pool) if route else None
@@ -180,8 +190,7 @@
             return
         now = self.loop.clock()
         ends = self.life.ends(now, workload.patience)
-        task = Asked(self.loop.next_id(), workload, now, ends, self, packet, entry, client, secret,
-                     source, sock)
+        task = Asked(self.loop.next_id(), workload, now, ends, self, packet, entry, client, secret, way)
         session = packet.first(wire.SESSION_ID) or b""
         task.key = hashed(session) if session else 0
         entry.task = task
@@ -195,22 +204,21 @@
     def reply(self, task: Asked, answer: Packet) -> None:
         own = task.packet
         attributes = [pair for pair in answer.attributes if pair[0] != wire.PROXY_STATE]
-        data = self.answer_to(own, task.secret, task.client, attributes)
+        data = self.answer_to(own, task.secret, task.way, attributes)
         self.memory.answered(task.entry, data, self.loop.clock())
-        self.send(task.sock, data, task.source)
-        for sock, source, packet, secret, _ in task.others:
-            self.send(sock, self.answer_to(packet, secret, task.client, attributes), source)
+        self.send(task.way, data)
+        for way, packet, secret, _ in task.others:
+            self.send(way, self.answer_to(packet, secret, way, attributes))
 
     @staticmethod
-    def answer_to(packet: Packet, secret: bytes, client: ClientSpec,
-                  attributes: list[tuple[int, bytes]]) -> bytes:
+    def answer_to(packet: Packet, secret: bytes, way: Way, attributes: list[tuple[int, bytes]]) -> bytes:
         """The answer in a packet's own words; what fits in no packet goes without the server's attributes."""
         try:
-            return wire.answer(packet, secret, client.signed, attributes=attributes)
+            return wire.answer(packet, secret, way.signed, attributes=attributes)
         except ValueError:
             # Proxy-States have to go back, and did fit in the request; a client needs nothing else of it.
-            log.warn("radius_answer_too_large", client=client.name)
-            return wire.answer(packet, secret, client.signed)
+            log.warn("radius_answer_too_large", source=way.source[0])
+            return wire.answer(packet, secret, way.signed)
 
     def silent(self, task: Asked, harmless: bool) -> None:
         """No answer goes. What may have run and must not run twice is remembered; all else may come again."""
@@ -219,17 +227,15 @@
         else:
             self.memory.ended(task.entry, self.loop.clock())
 
-    def send(self, sock: socket.socket, data: bytes, source: keys.Source) -> None:
-        try:
-            sock.sendto(data, source)
-            log.counts["radius_answers"] += 1
-        except OSError:
-            log.counts["radius_not_sent"] += 1  # it asks again, and is answered from memory
+    def send(self, way: Way, data: bytes) -> None:
+        # What was not sent is answered from memory when it is asked for again, over whichever way.
+        log.counts["radius_answers" if way.send(data) else "radius_not_sent"] += 1
 
     # As a front of the process.
 
     def sweep(self) -> None:
         self.memory.forget(self.loop.clock())
+        self.streams.sweep()
 
     def anyone(self) -> bool:
         return False
@@ -237,9 +243,10 @@
     def close_idle(self) -> None:
         for sock in self.sockets:
             asyncio.get_running_loop().remove_reader(sock)
+        self.streams.stop()
 
     def owes(self) -> bool:
         return False
 
     def figures(self) -> dict[str, int]:
-        return {"radius_remembered": len(self.memory)}
+        return {"radius_remembered": len(self.memory), "radius_streams": len(self.streams.open)}
--- a/whinpier/radius/spec.py
+++ b/whinpier/radius/spec.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import ssl
 import unicodedata
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from ipaddress import IPv4Network
 
 from whinpier.decay import SECOND
 from whinpier.radius import packet as wire
 from whinpier.radius.packet import Packet
 from whinpier.radius.state import StateSpec
+from whinpier.radius.stream import StreamSpec
 from whinpier.spec import Address
 
 
@@ -22,6 +24,7 @@
     secrets: tuple[bytes, ...]
     signed: bool = True  # a Message-Authenticator is needed, against forged packets
     most: int = 2_000  # packets a second that are looked at
+    names: tuple[str, ...] = ()  # in its certificate, of which one is enough
     kept: int = 0  # nanoseconds that its answers are given again; 0: as the whole says
 
 
@@ -92,8 +95,17 @@
     kept: int = 30 * SECOND  # how long an answer is given again
     most: int = 65_536  # requests that are remembered
     records: bool = True  # whether a record is known again by what it says
+    streams: tuple[StreamSpec, ...] = ()  # listeners of TCP and TLS
+    contexts: dict[Address, ssl.SSLContext] = field(default_factory=dict, compare=False)  # of those with TLS
+    connections: int = 64  # on all of them together
+    idle: int = 600 * SECOND  # after which a connection that says nothing ends
     state: StateSpec | None = None  # where what is remembered is kept over restarts
 
     @property
     def till_restart(self) -> dict[str, object]:
-        return {"listen": self.listen, "state": self.state}
+        return {"listen": self.listen, "state": self.state, "connections": self.connections,
+                "streams": tuple((one.listen, one.tls is None) for one in self.streams)}
+
+    @property
+    def descriptors(self) -> int:
+        return len(self.listen) + len(self.streams) + (self.connections if self.streams else 0)
--- a/whinpier/radius/tables.py
+++ b/whinpier/radius/tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from ipaddress import IPv4Network
 from typing import Annotated, Any, Literal
 
@@ -10,6 +11,7 @@
 from whinpier.radius.packet import STATUSES
 from whinpier.radius.spec import ClientSpec, RadiusSpec, RouteSpec, ServerSpec, normal
 from whinpier.radius.state import StateSpec
+from whinpier.radius.stream import StreamSpec, TlsSpec
 from whinpier.spec import ConfigFault, PoolSpec, address
 from whinpier.tables import UNITS, Count, Duration, Strict, duration, kept_secret, named, part
 
@@ -30,7 +32,8 @@
 class ClientTable(Strict, frozen=True):
     """Who may send RADIUS packets."""
 
-    networks: list[str]
+    networks: list[str] = []
+    names: list[str] = []
     secrets: list[str] = []
     secret_files: list[str] = []
     signed: bool = True
@@ -59,12 +62,24 @@
     on_fault: Literal["refuse", "go_on"] = "refuse"
 
 
+class StreamTable(Strict, frozen=True):
+    """A listener of TCP, or of TLS where it has a certificate."""
+
+    listen: str
+    certificate: str = ""
+    key: str = ""
+    authorities: str = ""
+
+
 class RadiusTable(Strict, frozen=True):
     """The RADIUS side."""
 
-    listen: list[str]
     clients: dict[str, Any]
     routes: list[Any]
+    listen: list[str] = []
+    streams: list[StreamTable] = []
+    connections: Annotated[int, Meta(ge=1, le=65_536)] = 64
+    idle: Duration = "10m"
     kept: Duration = "30s"
     most: Annotated[int, Meta(ge=256, le=4_000_000)] = 65_536
     records: bool = True
@@ -86,9 +101,12 @@
     """The RADIUS side of the process."""
     table = part(value, RadiusTable, "radius")
     listen = [address(text, f"radius.listen[{index}]") for index, text in enumerate(table.listen)]
-    if not listen or len(set(listen)) < len(listen):
+    given_streams = [stream(one, f"radius.streams[{index}]") for index, one in enumerate(table.streams)]
+    streams = tuple(spec for spec, _ in given_streams)
+    on = [one.listen for one in streams]
+    if not listen and not streams or len(set(listen)) < len(listen) or len(set(on)) < len(on):
         raise ConfigFault("radius.listen: names no address, or one twice")
-    clients, taken = list[ClientSpec](), dict[IPv4Network, str]()
+    clients, taken, whose = list[ClientSpec](), dict[IPv4Network, str](), dict[str, str]()
     for name, inner in table.clients.items():
         at = f"radius.clients.{named(name, 'radius.clients')}"
         client = part(inner, ClientTable, at)
@@ -104,15 +122,23 @@
             networks.append(network)
         secrets = [secret.encode() for secret in client.secrets]
         secrets += [kept_secret(path, f"{at}.secret_files") for path in client.secret_files]
-        if not networks or not secrets or not all(secrets) or len(secrets) > 4:
+        by_secret = bool(networks or secrets)
+        if by_secret and not (networks and secrets and all(secrets) and len(secrets) <= 4):
             raise ConfigFault(f"{at}: needs networks, and one to four secrets that are not empty")
-        clients.append(ClientSpec(name, tuple(networks), tuple(secrets), client.signed, client.most,
+        if not by_secret and not client.names:
+            raise ConfigFault(f"{at}: needs networks and secrets, or names in its certificate")
+        names = tuple(text.lower() for text in client.names)
+        for text in names:
+            if text in whose:
+                raise ConfigFault(f"{at}.names: {text} is {whose[text]}'s")
+            whose[text] = name
+        clients.append(ClientSpec(name, tuple(networks), tuple(secrets), client.signed, client.most, names,
                                   duration(client.kept, f"{at}.kept", UNITS["s"]) if client.kept else 0))
     if not clients:
         raise ConfigFault("radius.clients: none is named")
     numbers = {text: number for number, text in STATUSES.items()}
     routes = list[RouteSpec]()
-    met, names = dict[tuple[str, str, str], list[RouteSpec]](), dict[str, list[RouteSpec]]()
+    met, named_so = dict[tuple[str, str, str], list[RouteSpec]](), dict[str, list[RouteSpec]]()
     for index, inner in enumerate(table.routes):
         one = part(inner, RecordRouteTable, f"radius.routes[{index}]")
         at = f"radius.routes.{named(one.name, f'radius.routes[{index}].name')}"
@@ -130,18 +156,30 @@
         if "*" in found.nas[:-1]:
             raise ConfigFault(f"{at}.nas: {found.nas!r}: a * stands at the end only")
         alike = met.setdefault((found.realm, found.client, found.nas), [])
-        for other in [*alike, *names.get(found.name, [])]:
+        for other in [*alike, *named_so.get(found.name, [])]:
             both = found.statuses & other.statuses or found.statuses == other.statuses
             if other.name == found.name or both:
                 raise ConfigFault(f"{at}: takes the same records as {other.name}, or has its name")
         alike.append(found)
-        names[found.name] = [found]
+        named_so[found.name] = [found]
         routes.append(found)
     if not routes:
         raise ConfigFault("radius.routes: none is named")
     return RadiusSpec(tuple(listen), tuple(clients), tuple(sorted(routes, key=RouteSpec.rank)),
                       duration(table.kept, "radius.kept", UNITS["s"]), table.most, table.records,
-                       state(table.state))
+                       streams, {spec.listen: context for spec, context in given_streams if context},
+                       table.connections, duration(table.idle, "radius.idle", UNITS["s"]), state(table.state))
+
+
+def stream(table: StreamTable, at: str) -> tuple[StreamSpec, ssl.SSLContext | None]:
+    """A listener, with its certificate and key as they are now."""
+    listen, files = address(table.listen, f"{at}.listen"), (table.certificate, table.key, table.authorities)
+    if not any(files):
+        return StreamSpec(listen), None
+    if not all(files):
+        raise ConfigFault(f"{at}: TLS needs certificate, key and authorities")
+    tls = TlsSpec(*files)
+    return StreamSpec(listen, tls), tls.context(at)
 
 
 def state(table: StateTable | None) -> StateSpec | None:
--- a/whinpier/radius/wire.py
+++ b/whinpier/radius/wire.py
@@ -16,13 +16,13 @@
 class WithRadius(Http1):
     """HTTP/1.1 and RADIUS, each with its own front; a pool's servers speak the pool's protocol."""
 
-    def __init__(self, sockets: list[socket.socket]) -> None:
-        self.sockets = sockets
+    def __init__(self, sockets: list[socket.socket], listeners: list[socket.socket]) -> None:
+        self.sockets, self.listeners = sockets, listeners
 
     def fronts(self, life: Life) -> list[Front]:
         found = super().fronts(life)
         if spec := self.spec(life):
-            found.append(RadiusFront(life, spec, self.sockets))
+            found.append(RadiusFront(life, spec, self.sockets, self.listeners))
         return found
 
     def reroute(self, fronts: list[Front], life: Life) -> None:
--- a/whinpier/runtime/budget.py
+++ b/whinpier/runtime/budget.py
@@ -29,7 +29,7 @@
     """Descriptors that no client and no upstream gets."""
     if not spec.routed:
         return SPARE
-    listeners = len(spec.listen) + sum(len(beside.listen) for beside in spec.beside.values())
+    listeners = len(spec.listen) + sum(beside.descriptors for beside in spec.beside.values())
     return SPARE + listeners + sum(pool.discovery is not None for pool in spec.pools.values())
 
 
--- a/whinpier/spec.py
+++ b/whinpier/spec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field, fields
 from ipaddress import AddressValueError, IPv4Address
 from math import isfinite
@@ -98,6 +99,13 @@
     return found + ["workloads"] * (told[0] != told[1])
 
 
+class Listener(Protocol):
+    """A listener of streams, whatever else it has."""
+
+    @property
+    def listen(self) -> Address: ...
+
+
 class Beside(Protocol):
     """What a protocol beside HTTP is configured by; only that protocol knows more of it."""
 
@@ -105,6 +113,14 @@
     def listen(self) -> tuple[Address, ...]:
         """Where its clients send datagrams."""
 
+    @property
+    def streams(self) -> Sequence[Listener]:
+        """Where its clients connect."""
+
+    @property
+    def descriptors(self) -> int:
+        """What its clients and listeners may hold."""
+
     @property
     def till_restart(self) -> dict[str, object]:
         """What of it a reload leaves as it is, by key."""
--- a/whinpier/standin/files.py
+++ b/whinpier/standin/files.py
@@ -72,6 +72,6 @@
     pool = service("record", kind, servers, agreed, patience) | {
         "protocol": "radius", "radius": {"secret": "server", "retransmit": ms(retransmit)}}
     return {"pools": {"acct": pool},
-            "radius": more | {"listen": [radius], "clients": {"partner": {"networks": ["127.0.0.0/8"],
-                                                                    "secrets": secrets}},
+            "radius": {"listen": [radius], "clients": {"partner": {"networks": ["127.0.0.0/8"],
+                                                                    "secrets": secrets}}} | more | {
                        "routes": [{"name": "all", "pool": "acct"}]}}
--- a/whinpier/standin/radius.py
+++ b/whinpier/standin/radius.py
@@ -199,6 +199,39 @@
             transport.close()
 
 
+class Caller:
+    """A client over TCP or TLS: sends packets on one connection, keeps what comes back by identifier."""
+
+    def __init__(self, address: tuple[str, int], secret: bytes, context: Any = None) -> None:
+        self.address, self.secret, self.context = address, secret, context
+        self.sent: dict[int, bytes] = {}
+        self.answers: dict[int, list[bytes]] = {}
+        self.ended = asyncio.Event()
+
+    async def open(self, name: str = "server") -> None:
+        self.reader, self.writer = await asyncio.open_connection(
+            *self.address, ssl=self.context, server_hostname=name if self.context else None)
+        self.reading = asyncio.create_task(self.read())
+
+    async def read(self) -> None:
+        try:
+            while True:
+                head = await self.reader.readexactly(4)
+                data = head + await self.reader.readexactly(int.from_bytes(head[2:4], "big") - 4)
+                if data[1] in self.sent and proved(data, self.sent[data[1]], self.secret):
+                    self.answers.setdefault(data[1], []).append(data)
+        except (OSError, asyncio.IncompleteReadError):
+            self.ended.set()
+
+    def send(self, data: bytes) -> None:
+        self.sent[data[1]] = data
+        self.writer.write(data)
+
+    def close(self) -> None:
+        self.reading.cancel()
+        self.writer.transport.abort()
+
+
 class Ear(asyncio.DatagramProtocol):
     """One socket of a burst."""
 
