--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -279,3 +279,18 @@
 
     assert part(RESET) > 0.1
     assert part(NO_CONNECTION) < 0.1
+
+
+def test_an_upstream_that_resets_every_connection_is_left_alone_for_longer_each_time():
+    """A reset is no doubt, but it counts as a time-out and shuts for as long as its latency then says."""
+    host = FakeHost(count=4)
+    host.traffic(6 * SECOND)
+    bad, met = host.upstreams[0], []
+    until = host.now + 10 * SECOND
+    while host.now < until:
+        host.traffic(20 * MS)
+        for hand_off in host.out():
+            if hand_off.upstream is bad:
+                met.append(host.now)
+                host.came_back(hand_off, RESET)
+    assert len(met) < 0.02 * 500  # of 50 tasks a second, where a sound one gets a quarter
