RADIUS state file: with on_fault = go_on a full disk holds up no record and grows no queue

Seen on reading the change once more: with on_fault = "go_on" and `first`, which is the default, a record waited for a note that could not be written (state.py, once_kept), so that it went nowhere; and notes of records that went on were kept without a bound (note). Change: on a fault it does not wait where it is told to go on; 65,536 notes wait at the most, beyond that they are let go and the file is written anew from what is live. With "refuse", the default, all is as it was. Measured: a story of a disk that stays full: both records go at once, at most the bound is held, the file knows the record afterwards.

--- a/tests/test_radius.py
+++ b/tests/test_radius.py
@@ -30,7 +30,7 @@
 from whinpier.radius.idents import EACH, Idents
 from whinpier.radius.packet import BadPacket, Packet
 from whinpier.radius.spec import ClientSpec, RouteSpec
-from whinpier.radius.state import State, StateSpec, Torn, notes
+from whinpier.radius.state import MOST, State, StateSpec, Torn, notes
 from whinpier.radius.stream import Datagrams
 from whinpier.radius.table import Clients, Routes
 from whinpier.spec import ConfigFault
@@ -449,6 +449,33 @@
     assert len(reopened(tmp_path)) == 1
 
 
+def test_told_to_go_on_with_a_full_disk_it_waits_for_nothing_and_holds_no_more_than_a_bound(tmp_path,
+                                                                                          monkeypatch):
+    memory, state = kept_in(tmp_path, refuse=False)
+    write, told = os.pwrite, []
+
+    def full(file, data, at):
+        raise OSError(28, "No space left on device")
+
+    async def story():
+        monkeypatch.setattr(os, "pwrite", full)
+        entry = meet(memory, record(session=b"a"))[1]
+        state.once_kept(lambda: told.append("a"))
+        await state.flush()
+        state.once_kept(lambda: told.append("b"))
+        assert told == ["a", "b"] and state.takes()
+        for _ in range(2 * MOST):
+            state.note("e", "c", entry)
+        assert len(state.queue) <= MOST and state.anew
+        monkeypatch.setattr(os, "pwrite", write)
+        await state.flush()
+        await state.compact(memory)
+
+    anyio.run(story)
+    state.close()
+    assert len(reopened(tmp_path)) == 1
+
+
 def test_a_state_file_is_written_anew_before_it_holds_many_times_what_is_live(tmp_path):
     memory, state = kept_in(tmp_path)
 
--- a/whinpier/radius/state.py
+++ b/whinpier/radius/state.py
@@ -31,6 +31,7 @@
 LIVE = 3.0  # times what is live that a file may hold: it is written anew once in so many times its size
 USUAL = 200  # bytes of the notes on one request, with its answer
 AGAIN = SECOND // 2  # until what could not be written is tried again
+MOST = 65_536  # notes that wait to be written: some 10 MB, or 30 s of two thousand a second
 BEHIND = 2 * SECOND  # after which notes that are on no disk count as a fault
 NEW, ANSWERED, ENDED, GONE = "n", "a", "e", "g"
 
@@ -101,6 +102,7 @@
     size: int = 0  # bytes of the file that are good
     fault: str = ""  # why nothing can be written
     since: int = 0  # when the oldest of the queue came
+    anew: bool = False  # whether notes were let go, so that the file has to be written anew
     closed: bool = False
 
     def __post_init__(self) -> None:
@@ -169,6 +171,10 @@
         if not self.queue:
             self.since = self.clock()
             self.came.set()
+        elif len(self.queue) >= MOST:
+            # Guards against a disk that stays full while records go on: what is live is written anew later.
+            self.queue.clear()
+            self.anew = True
         self.queue.append(framed((kind, client, entry.key, *more)))
 
     def takes(self) -> bool:
@@ -179,7 +185,7 @@
 
     def once_kept(self, then: Callable[[], None]) -> None:
         """Call once all that was noted up to now is on the disk; at once where that is not asked for."""
-        if self.spec.first:
+        if self.spec.first and (self.spec.refuse or not self.fault):
             self.waiting.append(then)
         else:
             then()
@@ -192,7 +198,7 @@
                 await anyio.sleep((AGAIN if self.fault else self.spec.sync) / SECOND)
                 self.came = anyio.Event()
                 await self.flush()
-                if self.size > LEAST + LIVE * USUAL * len(memory) and not self.fault:
+                if not self.fault and (self.anew or self.size > LEAST + LIVE * USUAL * len(memory)):
                     await self.compact(memory)
         finally:
             self.close()
@@ -209,6 +215,10 @@
                 log.warn("radius_state_fault", file=self.spec.path, fault=fault)
             self.fault = str(fault)
             self.came.set()
+            if not self.spec.refuse:
+                waiting, self.waiting = self.waiting, []
+                for then in waiting:
+                    then()
             return
         if self.fault:
             log.say("radius_state_well", file=self.spec.path)
@@ -233,6 +243,7 @@
         entries = [entry for part in memory.parts.values() for entry in part.entries.values()]
         try:
             self.file, self.size = await anyio.to_thread.run_sync(self.rewrite, entries)
+            self.anew = False
         except OSError as fault:
             log.warn("radius_state_fault", file=self.spec.path, fault=fault)
 
