One check of private files, one formula of the oracles, and no state that nothing reads

Need: a second reading of the change. TlsSpec looked at modes by itself, where files.contents does so for every private file; the late-seeing oracle had the other one's formula again; two attributes and an argument were read by nobody. Change: contents for the files of TLS, done_after for both oracles; what is unused is gone.

--- a/whinpier/lab/baselines.py
+++ b/whinpier/lab/baselines.py
@@ -83,6 +83,11 @@
         return self.pick(idle or allowed) if allowed else None
 
 
+def done_after(work: float, backlog: float, capacity: float, cores: int) -> float:
+    """Seconds until a task is done: what is ahead of it and fills the cores, then itself on one of them."""
+    return max(0.0, backlog - work * (cores - 1)) / capacity + work * cores / capacity
+
+
 class Oracle(Plain):
     """Sees every upstream as it is: the one that would be done first, if that is in time."""
 
@@ -95,9 +100,7 @@
             capacity = server.capacity() if not link.cut() else 0.0
             if capacity <= 0.0:
                 continue
-            # What is ahead of it and fills the cores, then itself on one of them.
-            cores = server.machine.cores
-            wait = max(0.0, server.backlog() - work * (cores - 1)) / capacity + work * cores / capacity
+            wait = done_after(work, server.backlog(), capacity, server.machine.cores)
             if server.failing:
                 wait += server.failing * 10.0
             if wait < least:
@@ -113,7 +116,7 @@
     sight: Sight
 
     def find(self, task: Task) -> Seen | None:
-        allowed, seen_then = self.allowed(task), self.sight.then(self.host.now)
+        allowed, seen_then = self.allowed(task), self.sight.then()
         work = getattr(task, "work", 0.0)
         sums = list(accumulate(seen_then.get(getattr(seen.upstream, "host"), NOTHING)[0] for seen in allowed))
         if not sums or sums[-1] <= 0.0:
@@ -125,7 +128,7 @@
             if capacity > 0.0:
                 # Of what was sent since then it knows its own only.
                 own = seen.out * work
-                wait = max(0.0, backlog + own - work * (cores - 1)) / capacity + work * cores / capacity
+                wait = done_after(work, backlog + own, capacity, cores)
                 if wait < least:
                     best, least = seen, wait
         left = (task.came + task.workload.agreed_time - self.host.now) / SECOND
@@ -151,7 +154,7 @@
             self.kept.popleft()
         self.clock.after(SECOND // 4, self.look)
 
-    def then(self, now: int) -> dict[str, tuple[float, float, int]]:
+    def then(self) -> dict[str, tuple[float, float, int]]:
         return self.kept[0][1]
 
 
--- a/whinpier/lab/clients.py
+++ b/whinpier/lab/clients.py
@@ -76,7 +76,7 @@
         self.surge = 1.0  # by a trouble, on top of the stream's own
         self.leaving, self.eager = 0.0, 0  # part of tasks that are not waited for to the end; further tries
         self.most = max([1.0, *(times for _, _, times in stream.surges)]) * (1.0 + stream.day)
-        self.agreed, self.patience = int(stream.agreed_time * SECOND), int(stream.patience * SECOND)
+        self.patience = int(stream.patience * SECOND)
 
     def rate(self, at: float) -> float:
         """Tasks a second at a time since the start."""
--- a/whinpier/radius/keys.py
+++ b/whinpier/radius/keys.py
@@ -93,7 +93,7 @@
 
         A client that is no longer there keeps what is remembered of it until its time is over.
         """
-        self.kept, self.most = kept, most
+        self.kept = kept
         even = int((1.0 - COMMON) * most / max(1, len(clients)))
         for name, own in clients.items():
             part = self.parts.setdefault(name, Part(name, own))
--- a/whinpier/radius/stream.py
+++ b/whinpier/radius/stream.py
@@ -8,10 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import socket
 import ssl
-import stat
 from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import suppress
@@ -23,6 +21,7 @@
 
 from whinpier import log
 from whinpier.decay import SECOND
+from whinpier.files import contents
 from whinpier.radius import keys
 from whinpier.radius import packet as wire
 from whinpier.radius.packet import BadPacket
@@ -102,11 +101,12 @@
         for key in ("certificate", "key", "authorities"):
             path: str = getattr(self, key)
             try:
-                found = os.stat(path)
+                contents(path, private=key == "key")
             except OSError as fault:
                 raise ConfigFault(f"{at}.{key}: {fault}") from None
-            if key == "key" and stat.S_IMODE(found.st_mode) & 0o077:
-                raise ConfigFault(f"{at}.key: {path} may be read by others; its mode must be 600")
+            except ValueError as fault:
+                raise ConfigFault(f"{at}.{key}: {path} {fault}; its mode must be 600" if key == "key"
+                                  else f"{at}.{key}: {path} {fault}") from None
         self.check_time(at)
         made = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
         made.minimum_version = ssl.TLSVersion.TLSv1_2
