Four balancers at an upstream where it was twenty: a client's own balancer keeps to fewer

Every balancer kept to 18 of 59, with room for one task at each: 20 balancers together may crowd a one-core upstream.

--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -271,7 +271,7 @@
 
     TRIALS = 0.01  # of sends, to idle upstreams; the design page's
     LEAST = 2  # upstreams to choose from: with one bad there is still one
-    TABLE = 20  # balancers at an upstream that can't hurt: tables hold tens
+    TABLE = 4  # balancers at an upstream
 
     def __init__(self, choice: Choice, settings: dict[str, Any], seed: int) -> None:
         self.choice, self.host = choice, choice.host
