--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -15,6 +15,7 @@
 from itertools import accumulate, count as numbers, islice
 from math import exp, log
 from random import Random
+from struct import Struct
 from typing import Any
 
 from whinpier.decay import SECOND, Sum
@@ -24,6 +25,9 @@
 PASS, KEEP, END = "pass on", "keep", "end"
 PERIOD = SECOND  # between solves; the design page's
 SOLVE, TICK = 1, 2  # alarm tokens
+FORM, MESSAGE = 1, Struct("<B3f")  # what balancers tell one another: form, rate, answers, seconds they took
+FULL_USE = 1.0
+HEARD = 30 * SECOND  # for which it holds: some are lost, and large banks speak seldom
 WINDOW = 5 * SECOND  # over which sends to a cold upstream are bounded: one a second is a fine grain in it
 
 
@@ -48,6 +52,7 @@
         self.out, self.pull, self.silence, self.missing, self.at, self.heard = 0, 0.0, 0.0, 0.0, now, now
         self.share, self.part, self.room, self.shut_until = 0.0, 1.0, 1.0, 0
         self.given: float | None = None  # its rate, smoothed as its latency is
+        self.served, self.busy = Sum(WINDOW, now), Sum(WINDOW, now)  # of reports: rates, and parts of use
 
     def watch(self, now: int) -> None:
         """Count how many answers were due since last looked at, had its hand-offs taken the usual time."""
@@ -288,9 +293,12 @@
         self.ease = 0.0  # the least mean latency of late, in seconds
         self.configure(settings)
         self.total, self.owed, self.usual_sends, self.sharing, self.crowded = 0, 0.0, 0.0, 1.0, False
+        self.told: dict[int, tuple[int, float, float, float]] = {}  # by other balancers: when, and what
+        self.heard = 0.0, 0.0
 
     def configure(self, settings: dict[str, Any]) -> None:
         self.balancers = max(1, int(settings.get("balancers", 1)))
+        self.peers = bool(settings.get("limits.peers", False))
         self.number, self.zone = int(settings.get("slot_no", 0)), settings.get("zone", 0)
         self.warm_keys = bool(settings.get("family_info.warm_keys", False))
         self.cold_from = float(settings.get("rules.cold_from", 1.0))
@@ -336,7 +344,7 @@
             pool += islice((seen for seen in walk if seen not in held), max(1, want - sound))
         while len(pool) > 1.5 * want:
             self.host.close_idle(pool.pop(int(self.random() * len(pool))).upstream)
-        self.pool, self.sharing = pool, max(1.0, self.balancers * len(pool) / max(1, count))
+        self.pool = pool
 
     def age(self, upstream: Upstream) -> float:
         old = self.host.now - upstream.started
@@ -355,7 +363,10 @@
             self.keys = {key: asked for key, asked in self.keys.items() if asked.read(self.host.now) > 0.1}
         now, pool, sure = self.host.now, self.pool, self.sure()
         own, mean = self.arrived.rate(now), self.measure(now)
-        rate = own * self.sharing  # of all balancers, at these upstreams
+        fleet, part = self.fleet(own, now), len(pool) / max(1, len(self.ready))
+        rate = fleet * part  # of all balancers, at these upstreams
+        # One task a second each as a start: before anything came all balancers are alike.
+        self.sharing = max(1.0, (fleet + self.balancers) / (own + 1.0) * part)
         # Latencies fade over the time it takes to hear some thirty answers of each: fewer say little where
         # tasks differ much. Bounds: three seconds, and half of what a trouble usually lasts.
         self.span = int(min(max(30.0 * len(pool) / max(own, 1.0), 3.0), 10.0) * SECOND)
@@ -379,6 +390,28 @@
         self.drawn, self.ranks = [seen for seen in sure if seen.share > 0.0], {}
         self.bounds = list(accumulate(seen.share for seen in self.drawn))
 
+    def speak(self, own: float) -> None:
+        """Tell the others: each hears twenty messages a second at most, however many balancers there are."""
+        begun = self.host.now >= self.arrived.begun + PERIOD  # before, it has nothing to tell
+        if self.peers and begun and self.balancers > 1 and self.random() < 20.0 / self.balancers:
+            self.host.tell(None, MESSAGE.pack(FORM, own, self.heard[0], self.heard[1]))
+
+    def fleet(self, own: float, now: int) -> float:
+        """The rate of all balancers: who has not said its own of late counts as the others do."""
+        self.told = {who: said for who, said in self.told.items() if said[0] > now - HEARD}
+        rate = own + sum(said[1] for said in self.told.values())
+        return rate * self.balancers / (1 + len(self.told))
+
+    def hear(self, who: int, contents: bytes) -> bool:
+        """Another balancer's figures; False of what can't be read, which may come from another build."""
+        if len(contents) != MESSAGE.size or contents[0] != FORM or not 0 <= who < self.balancers:
+            return False
+        _, rate, answers, took = MESSAGE.unpack(contents)
+        if not (0.0 <= rate < 1e9 and 0.0 <= answers < 1e9 and 0.0 <= took < 1e9):
+            return False
+        self.told[who] = self.host.now, rate, answers, took
+        return True
+
     def measure(self, now: int) -> float:
         """Mean latency in seconds over the mix of workloads as it comes; 0 while nothing is known."""
         took = answers = 0.0
@@ -391,7 +424,11 @@
         # Against fifty answers, and after three seconds: the quickest come first, and a restarted balancer
         # must not think them usual. Forgotten slower than a trouble lasts.
         if now >= self.arrived.begun + 3 * SECOND:
-            self.ease = min(self.ease * 1.01, (took / SECOND + 50.0 * self.ease) / (answers + 50.0))
+            self.heard = answers, took / SECOND
+            answers += sum(said[2] for said in self.told.values())
+            took = took / SECOND + sum(said[3] for said in self.told.values())
+            ease = (took + 50.0 * self.ease) / (answers + 50.0)
+            self.ease = min(self.ease * 1.01, ease)
         self.crowded = mean > 2.0 * self.ease
         return mean
 
@@ -414,7 +451,10 @@
     def make_room(self, seen: Seen) -> None:
         # Guards against crowding, where upstreams lose speed or turn tasks away: by Little's law no more is
         # out than is answered in a fifth more than the latency at ease, or six at each over all balancers.
-        seen.part = max(6.0 / self.sharing, seen.answers.rate(self.host.now) * 1.2 * self.ease)
+        now = self.host.now
+        seen.part = max(6.0 / self.sharing, seen.answers.rate(now) * 1.2 * self.ease)
+        if (busy := seen.busy.read(now)) > 0.05:  # what it does in full use, as it reports, in the time at ease
+            seen.part = FULL_USE * seen.served.read(now) / busy * self.ease / self.sharing
         seen.room = max(1.0, seen.part) - 0.5  # rounded to whole tasks
 
     def open_to(self, seen: Seen, task: Task) -> bool:
@@ -568,6 +608,8 @@
         """A hand-off has its outcome; `first` if it ended the task. Late ones still count as measured."""
         if load and "fulfilled_rate" in load:
             hand_off.upstream.seen.given = load["fulfilled_rate"]
+            hand_off.upstream.seen.served.add(self.host.now, load["fulfilled_rate"])
+            hand_off.upstream.seen.busy.add(self.host.now, load.get("busy", 1.0))
         for stage in (self.split, self.again, self.entry):
             stage.back(hand_off, first)
 
@@ -588,6 +630,10 @@
         hand_off.upstream.seen.answered(self.host.now)
         self.again.call_off([other for other in hand_off.task.hand_offs if other is not hand_off])
 
+    def told(self, balancer: int, contents: bytes) -> bool:
+        """Another balancer's message; whether it could be read."""
+        return self.split.hear(balancer, contents)
+
     def wake(self, at: int) -> None:
         """See that `bell` rings by then."""
         if not self.next_wake or at < self.next_wake:
@@ -602,6 +648,7 @@
                 self.host.follow_list(True)
             self.subscribe = False
             self.split.solve()
+            self.split.speak(self.split.arrived.rate(now))
             self.entry.rank()
         elif now >= self.next_wake:
             self.next_wake = 0
--- a/whinpier/simhost/__main__.py
+++ b/whinpier/simhost/__main__.py
@@ -66,6 +66,8 @@
             instance.client_left(fields[1])
         elif code == wire.OPENED:
             instance.opened(fields[1], fields[3])
+        elif code == wire.DATAGRAM:
+            instance.choice.told(fields[1], wire.counted(rest, fields[2]))
         elif code == wire.DESTROY:
             del self.instances[instance.who]
 
