--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -26,7 +26,7 @@
 PERIOD = SECOND  # between solves; the design page's
 SOLVE, TICK = 1, 2  # alarm tokens
 FORM, MESSAGE = 1, Struct("<B3f")  # what balancers tell one another: form, rate, answers, seconds they took
-FULL_USE = 1.0
+FULL_USE = 1.6
 HEARD = 30 * SECOND  # for which it holds: some are lost, and large banks speak seldom
 WINDOW = 5 * SECOND  # over which sends to a cold upstream are bounded: one a second is a fine grain in it
 
@@ -276,7 +276,7 @@
 
     TRIALS = 0.01  # of sends, to idle upstreams; the design page's
     LEAST = 2  # upstreams to choose from: with one bad there is still one
-    TABLE = 4  # balancers at an upstream
+    TABLE = 2  # balancers at an upstream
 
     def __init__(self, choice: Choice, settings: dict[str, Any], seed: int) -> None:
         self.choice, self.host = choice, choice.host
@@ -295,9 +295,11 @@
         self.total, self.owed, self.usual_sends, self.sharing, self.crowded = 0, 0.0, 0.0, 1.0, False
         self.told: dict[int, tuple[int, float, float, float]] = {}  # by other balancers: when, and what
         self.heard = 0.0, 0.0
+        self.calm, self.calm_took = Sum(10 * SECOND, self.host.now), Sum(10 * SECOND, self.host.now)
 
     def configure(self, settings: dict[str, Any]) -> None:
         self.balancers = max(1, int(settings.get("balancers", 1)))
+        self.reported = settings.get("report.source", "off") == "inline"
         self.peers = bool(settings.get("limits.peers", False))
         self.number, self.zone = int(settings.get("slot_no", 0)), settings.get("zone", 0)
         self.warm_keys = bool(settings.get("family_info.warm_keys", False))
@@ -328,7 +330,7 @@
             return count  # a key should meet the same upstreams at every balancer
         # Guards against full connection tables and against knowing little of many: one for each three tasks a
         # second (thirty answers in the longest smoothing time), or what a small bank can have without harm.
-        return min(count, max(self.LEAST, int(self.arrived.rate(self.host.now) / 3),
+        return min(count, max(self.LEAST, int(self.arrived.rate(self.host.now) / 8),
                               self.TABLE * count // self.balancers))
 
     def choose(self) -> None:
@@ -424,11 +426,12 @@
         # Against fifty answers, and after three seconds: the quickest come first, and a restarted balancer
         # must not think them usual. Forgotten slower than a trouble lasts.
         if now >= self.arrived.begun + 3 * SECOND:
-            self.heard = answers, took / SECOND
-            answers += sum(said[2] for said in self.told.values())
-            took = took / SECOND + sum(said[3] for said in self.told.values())
-            ease = (took + 50.0 * self.ease) / (answers + 50.0)
-            self.ease = min(self.ease * 1.01, ease)
+            self.ease = min(self.ease * 1.01, (took / SECOND + 50.0 * self.ease) / (answers + 50.0))
+        if self.reported:  # what was answered where the report says half idle
+            self.heard = self.calm.read(now), self.calm_took.read(now) / SECOND
+            answers = self.heard[0] + sum(said[2] for said in self.told.values())
+            took = self.heard[1] + sum(said[3] for said in self.told.values())
+            self.ease = (took + 5.0 * self.ease) / (answers + 5.0)
         self.crowded = mean > 2.0 * self.ease
         return mean
 
@@ -610,6 +613,9 @@
             hand_off.upstream.seen.given = load["fulfilled_rate"]
             hand_off.upstream.seen.served.add(self.host.now, load["fulfilled_rate"])
             hand_off.upstream.seen.busy.add(self.host.now, load.get("busy", 1.0))
+            if load.get("busy", 1.0) < 0.5 and hand_off.outcome == FULFILLED:
+                self.split.calm.add(self.host.now)
+                self.split.calm_took.add(self.host.now, hand_off.took)
         for stage in (self.split, self.again, self.entry):
             stage.back(hand_off, first)
 
