--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -27,6 +27,8 @@
 SOLVE, TICK = 1, 2  # alarm tokens
 FORM, MESSAGE = 1, Struct("<B3f")  # what balancers tell one another: form, rate, answers, seconds they took
 FULL_USE = 1.6
+FRESH = SECOND // 2
+PROBES = 0.5
 HEARD = 30 * SECOND  # for which it holds: some are lost, and large banks speak seldom
 WINDOW = 5 * SECOND  # over which sends to a cold upstream are bounded: one a second is a fine grain in it
 
@@ -51,6 +53,7 @@
         self.sends = upstream.sends or Sum(WINDOW, now)
         self.out, self.pull, self.silence, self.missing, self.at, self.heard = 0, 0.0, 0.0, 0.0, now, now
         self.share, self.part, self.room, self.shut_until = 0.0, 1.0, 1.0, 0
+        self.held, self.held_at = 0.0, -FRESH
         self.given: float | None = None  # its rate, smoothed as its latency is
         self.served, self.busy = Sum(WINDOW, now), Sum(WINDOW, now)  # of reports: rates, and parts of use
 
@@ -196,6 +199,7 @@
         self.most = int(settings.get("limits.max_hand_offs", 1))
         self.second_copies = settings.get("limits.second_copies", False)
         self.cancelling = settings.get("limits.cancelling", False)
+        self.rescue = self.second_copies
 
     def take(self, task: Task) -> str:
         return PASS if not task.hand_offs or self.allowed(task) else self.choice.finish(task)
@@ -238,7 +242,7 @@
         """Look again at a repeatable task when its answer is late."""
         workload = hand_off.task.workload
         due = self.host.now + int(self.LATE * workload.known.usual)
-        if workload.kind != EXCLUSIVE and self.second_copies and due < hand_off.task.ends:
+        if workload.kind != EXCLUSIVE and self.rescue and due < hand_off.task.ends:
             heapq.heappush(self.due, (due, next(self.number), hand_off))
             self.choice.wake(due)
 
@@ -251,15 +255,19 @@
                 continue
             if not hand_off.upstream.seen.doubted(self.host.now, hand_off):
                 self.sent(hand_off)
-            elif self.allowed(task) and not self.choice.entry.waiting() and self.afford():
-                self.choice.split.take(task)
+            elif (self.allowed(task) and not self.choice.entry.waiting()
+                  and (self.second_copies or not self.choice.split.crowded) and self.afford()):
+                if self.second_copies:
+                    self.choice.split.take(task)
+                else:  # one hand-off out at a time: the next goes out when this one's outcome has come
+                    self.host.withdraw(hand_off)
 
     def back(self, hand_off: HandOff, first: bool) -> None:
         task = hand_off.task
         others = [other for other in task.hand_offs if not other.outcome]
         if task.ended or task.opened or (others and self.host.now < task.ends):
             self.call_off(others if first else [])
-        elif hand_off.outcome in NEVER_RAN or self.afford():
+        elif hand_off.outcome in NEVER_RAN or hand_off.outcome == WITHDRAWN or self.afford():
             if self.choice.run(task, 1) == PASS:
                 self.choice.entry.hold(task)
         else:
@@ -292,6 +300,7 @@
         self.arrived, self.went = Sum(self.span, self.host.now), Sum(WINDOW, self.host.now)
         self.ease = 0.0  # the least mean latency of late, in seconds
         self.configure(settings)
+        self.probing, self.turn = 0.0, self.number
         self.total, self.owed, self.usual_sends, self.sharing, self.crowded = 0, 0.0, 0.0, 1.0, False
         self.told: dict[int, tuple[int, float, float, float]] = {}  # by other balancers: when, and what
         self.heard = 0.0, 0.0
@@ -300,6 +309,7 @@
     def configure(self, settings: dict[str, Any]) -> None:
         self.balancers = max(1, int(settings.get("balancers", 1)))
         self.reported = settings.get("report.source", "off") == "inline"
+        self.probes = settings.get("limits.probes", False) and settings.get("report.source") == "on_probe"
         self.peers = bool(settings.get("limits.peers", False))
         self.number, self.zone = int(settings.get("slot_no", 0)), settings.get("zone", 0)
         self.warm_keys = bool(settings.get("family_info.warm_keys", False))
@@ -348,6 +358,16 @@
             self.host.close_idle(pool.pop(int(self.random() * len(pool))).upstream)
         self.pool = pool
 
+    def probe(self) -> None:
+        """Ask upstreams for their load in turn, as often as tasks come."""
+        self.probing += PROBES
+        if self.probing >= 1.0 and self.pool:
+            self.probing, self.turn = 0.0, self.turn + 1
+            self.host.probe(self.pool[self.turn % len(self.pool)].upstream)
+
+    def probed(self, seen: Seen, load: dict[str, float]) -> None:
+        seen.held, seen.held_at = load["held"], self.host.now
+
     def age(self, upstream: Upstream) -> float:
         old = self.host.now - upstream.started
         warm = not upstream.started or old >= self.cold
@@ -463,6 +483,8 @@
     def open_to(self, seen: Seen, task: Task) -> bool:
         """Whether the rules and plain sense let this upstream have the task."""
         upstream, now = seen.upstream, self.host.now
+        if now < seen.held_at + FRESH and seen.held >= seen.part * self.sharing:
+            return False
         if (seen.out >= seen.room or now < seen.shut_until or upstream.state != READY
                 or any(sent.upstream is upstream for sent in task.hand_offs)
                 or task.hand_offs and not self.choice.again.fits(task, upstream)):
@@ -597,6 +619,8 @@
             asked.add(self.host.now)
         if task.key and self.split.warm_keys:
             self.split.keys.setdefault(task.key, Sum(5 * SECOND, self.host.now)).add(self.host.now)
+        if self.split.probes:
+            self.split.probe()
         if self.run(task, 0) == PASS:
             self.entry.hold(task)
 
@@ -619,6 +643,11 @@
         for stage in (self.split, self.again, self.entry):
             stage.back(hand_off, first)
 
+    def probed(self, upstream: Upstream, load: dict[str, float] | None) -> None:
+        """A probe has come back, with what the upstream says of its load."""
+        if load and "held" in load and upstream.seen:
+            self.split.probed(upstream.seen, load)
+
     def finish(self, task: Task) -> str:
         """The final answer to a task that was not fulfilled: turned back if that is true to say."""
         if self.again.harmless(task) and self.host.now < task.ends:
--- a/whinpier/simhost/__main__.py
+++ b/whinpier/simhost/__main__.py
@@ -66,6 +66,9 @@
             instance.client_left(fields[1])
         elif code == wire.OPENED:
             instance.opened(fields[1], fields[3])
+        elif code == wire.SAMPLED:
+            _, reason, took, upstream, n = fields
+            instance.sampled(upstream, wire.report(rest, n, instance.columns))
         elif code == wire.DATAGRAM:
             instance.choice.told(fields[1], wire.counted(rest, fields[2]))
         elif code == wire.DESTROY:
--- a/whinpier/simhost/instance.py
+++ b/whinpier/simhost/instance.py
@@ -139,6 +139,11 @@
             hand_off.task.opened = True
             self.choice.opened(hand_off)
 
+    def sampled(self, number: int, load: dict[str, float] | None) -> None:
+        upstream = self.known.get(number)
+        if upstream is not None:
+            self.choice.probed(upstream, load)
+
     def client_left(self, number: int) -> None:
         task = self.tasks.get(number)
         if task is not None and not task.ended:
