--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -26,7 +26,7 @@
 PERIOD = SECOND  # between solves; the design page's
 SOLVE, TICK = 1, 2  # alarm tokens
 FORM, MESSAGE = 1, Struct("<B3f")  # what balancers tell one another: form, rate, answers, seconds they took
-FULL_USE = 1.6
+GAIN, IN_USE, START_WIDE, LEAST_WIDE, MOST_WIDE = 1.0, 0.85, 2.0, 1.5, 6.0
 FRESH = SECOND // 2
 PROBES = 0.5
 HEARD = 30 * SECOND  # for which it holds: some are lost, and large banks speak seldom
@@ -55,7 +55,7 @@
         self.share, self.part, self.room, self.shut_until = 0.0, 1.0, 1.0, 0
         self.held, self.held_at = 0.0, -FRESH
         self.given: float | None = None  # its rate, smoothed as its latency is
-        self.served, self.busy = Sum(WINDOW, now), Sum(WINDOW, now)  # of reports: rates, and parts of use
+        self.wide, self.told = START_WIDE, now
 
     def watch(self, now: int) -> None:
         """Count how many answers were due since last looked at, had its hand-offs taken the usual time."""
@@ -304,11 +304,10 @@
         self.total, self.owed, self.usual_sends, self.sharing, self.crowded = 0, 0.0, 0.0, 1.0, False
         self.told: dict[int, tuple[int, float, float, float]] = {}  # by other balancers: when, and what
         self.heard = 0.0, 0.0
-        self.calm, self.calm_took = Sum(10 * SECOND, self.host.now), Sum(10 * SECOND, self.host.now)
 
     def configure(self, settings: dict[str, Any]) -> None:
         self.balancers = max(1, int(settings.get("balancers", 1)))
-        self.reported = settings.get("report.source", "off") == "inline"
+        self.reports = "busy" in settings.get("report.columns", [])
         self.probes = settings.get("limits.probes", False) and settings.get("report.source") == "on_probe"
         self.peers = bool(settings.get("limits.peers", False))
         self.number, self.zone = int(settings.get("slot_no", 0)), settings.get("zone", 0)
@@ -365,8 +364,17 @@
             self.probing, self.turn = 0.0, self.turn + 1
             self.host.probe(self.pool[self.turn % len(self.pool)].upstream)
 
-    def probed(self, seen: Seen, load: dict[str, float]) -> None:
-        seen.held, seen.held_at = load["held"], self.host.now
+    def reported(self, seen: Seen, load: dict[str, float]) -> None:
+        """What an upstream says of its load, by itself or when probed."""
+        now, busy = self.host.now, load.get("busy")
+        seen.given = load.get("fulfilled_rate", seen.given)
+        if "held" in load and self.probes:
+            seen.held, seen.held_at = load["held"], now
+        if busy is not None:
+            # What keeps it in use, and no more: more only waits there, and may slow it.
+            span = min(now - seen.told, SECOND) / SECOND
+            seen.wide = min(max(seen.wide * exp(GAIN * (IN_USE - busy) * span), LEAST_WIDE), MOST_WIDE)
+            seen.told = now
 
     def age(self, upstream: Upstream) -> float:
         old = self.host.now - upstream.started
@@ -416,7 +424,7 @@
         """Tell the others: each hears twenty messages a second at most, however many balancers there are."""
         begun = self.host.now >= self.arrived.begun + PERIOD  # before, it has nothing to tell
         if self.peers and begun and self.balancers > 1 and self.random() < 20.0 / self.balancers:
-            self.host.tell(None, MESSAGE.pack(FORM, own, self.heard[0], self.heard[1]))
+            self.host.tell(None, MESSAGE.pack(FORM, own, 0.0, 0.0))
 
     def fleet(self, own: float, now: int) -> float:
         """The rate of all balancers: who has not said its own of late counts as the others do."""
@@ -447,11 +455,6 @@
         # must not think them usual. Forgotten slower than a trouble lasts.
         if now >= self.arrived.begun + 3 * SECOND:
             self.ease = min(self.ease * 1.01, (took / SECOND + 50.0 * self.ease) / (answers + 50.0))
-        if self.reported:  # what was answered where the report says half idle
-            self.heard = self.calm.read(now), self.calm_took.read(now) / SECOND
-            answers = self.heard[0] + sum(said[2] for said in self.told.values())
-            took = self.heard[1] + sum(said[3] for said in self.told.values())
-            self.ease = (took + 5.0 * self.ease) / (answers + 5.0)
         self.crowded = mean > 2.0 * self.ease
         return mean
 
@@ -476,8 +479,8 @@
         # out than is answered in a fifth more than the latency at ease, or six at each over all balancers.
         now = self.host.now
         seen.part = max(6.0 / self.sharing, seen.answers.rate(now) * 1.2 * self.ease)
-        if (busy := seen.busy.read(now)) > 0.05:  # what it does in full use, as it reports, in the time at ease
-            seen.part = FULL_USE * seen.served.read(now) / busy * self.ease / self.sharing
+        if self.reports:
+            seen.part = seen.wide / self.sharing
         seen.room = max(1.0, seen.part) - 0.5  # rounded to whole tasks
 
     def open_to(self, seen: Seen, task: Task) -> bool:
@@ -633,20 +636,15 @@
 
     def came_back(self, hand_off: HandOff, load: dict[str, float] | None, first: bool) -> None:
         """A hand-off has its outcome; `first` if it ended the task. Late ones still count as measured."""
-        if load and "fulfilled_rate" in load:
-            hand_off.upstream.seen.given = load["fulfilled_rate"]
-            hand_off.upstream.seen.served.add(self.host.now, load["fulfilled_rate"])
-            hand_off.upstream.seen.busy.add(self.host.now, load.get("busy", 1.0))
-            if load.get("busy", 1.0) < 0.5 and hand_off.outcome == FULFILLED:
-                self.split.calm.add(self.host.now)
-                self.split.calm_took.add(self.host.now, hand_off.took)
+        if load:
+            self.split.reported(hand_off.upstream.seen, load)
         for stage in (self.split, self.again, self.entry):
             stage.back(hand_off, first)
 
     def probed(self, upstream: Upstream, load: dict[str, float] | None) -> None:
         """A probe has come back, with what the upstream says of its load."""
-        if load and "held" in load and upstream.seen:
-            self.split.probed(upstream.seen, load)
+        if load and upstream.seen:
+            self.split.reported(upstream.seen, load)
 
     def finish(self, task: Task) -> str:
         """The final answer to a task that was not fulfilled: turned back if that is true to say."""
