As many upstreams to a balancer as leave each upstream no more balancers than it has room for

Each balancer rounds its part of the room up to a whole task, so more balancers than room is more tasks than room. Lines at fault: Split.want.

--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -47,7 +47,7 @@
 
     DOUBT = 4.0  # answers overdue: by chance once in e^4, about one in fifty
 
-    def __init__(self, upstream: Upstream, now: int, span: int) -> None:
+    def __init__(self, upstream: Upstream, now: int, span: int, wide: float) -> None:
         self.upstream, self.salt = upstream, upstream.id * 0x9E3779B97F4A7C15
         self.due, self.answers = Sum(span, now), Sum(span, now)
         self.sends = upstream.sends or Sum(WINDOW, now)
@@ -55,7 +55,7 @@
         self.share, self.part, self.room, self.shut_until = 0.0, 1.0, 1.0, 0
         self.held, self.held_at = 0.0, -FRESH
         self.given: float | None = None  # its rate, smoothed as its latency is
-        self.wide, self.told = START_WIDE, now
+        self.wide, self.told = wide, now
 
     def watch(self, now: int) -> None:
         """Count how many answers were due since last looked at, had its hand-offs taken the usual time."""
@@ -308,6 +308,7 @@
     def configure(self, settings: dict[str, Any]) -> None:
         self.balancers = max(1, int(settings.get("balancers", 1)))
         self.reports = "busy" in settings.get("report.columns", [])
+        self.start_wide = START_WIDE if self.reports else MOST_WIDE
         self.probes = settings.get("limits.probes", False) and settings.get("report.source") == "on_probe"
         self.peers = bool(settings.get("limits.peers", False))
         self.number, self.zone = int(settings.get("slot_no", 0)), settings.get("zone", 0)
@@ -322,7 +323,7 @@
         """Follow the list: what drains or is missing gets nothing new from this moment on."""
         for upstream in upstreams:
             if upstream.seen is None:
-                seen = upstream.seen = Seen(upstream, self.host.now, self.span)
+                seen = upstream.seen = Seen(upstream, self.host.now, self.span, self.start_wide)
                 # Guards against hundreds of balancers that each send a fresh upstream its first task at once.
                 start = self.cold_bound(seen) + self.random() if self.ready else 0.0
                 seen.sends.value = max(seen.sends.value, start)
@@ -337,10 +338,13 @@
         """How many upstreams of a list to keep to."""
         if self.warm_keys:
             return count  # a key should meet the same upstreams at every balancer
-        # Guards against full connection tables and against knowing little of many: one for each three tasks a
-        # second (thirty answers in the longest smoothing time), or what a small bank can have without harm.
-        return min(count, max(self.LEAST, int(self.arrived.rate(self.host.now) / 8),
-                              self.TABLE * count // self.balancers))
+        # Guards against knowing little of many, and against more balancers at an upstream than there is room for
+        # tasks, as each may send one: by its part of all traffic each has so many that they are no more.
+        now = self.host.now
+        own = self.arrived.rate(now)
+        wide = sum(seen.wide for seen in self.pool) / len(self.pool) if self.pool else self.start_wide
+        part = (own + 1.0) / (self.fleet(own, now) + self.balancers)
+        return min(count, max(self.LEAST, int(wide * count * part + 0.5)))
 
     def choose(self) -> None:
         """Keep to every n-th upstream of the sorted list, from a start of this balancer's own."""
@@ -478,9 +482,9 @@
         # Guards against crowding, where upstreams lose speed or turn tasks away: by Little's law no more is
         # out than is answered in a fifth more than the latency at ease, or six at each over all balancers.
         now = self.host.now
-        seen.part = max(6.0 / self.sharing, seen.answers.rate(now) * 1.2 * self.ease)
-        if self.reports:
-            seen.part = seen.wide / self.sharing
+        seen.part = seen.wide / self.sharing
+        if not self.reports:
+            seen.part = max(seen.part, seen.answers.rate(now) * 1.2 * self.ease)
         seen.room = max(1.0, seen.part) - 0.5  # rounded to whole tasks
 
     def open_to(self, seen: Seen, task: Task) -> bool:
