--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -412,7 +412,7 @@
         warm = sum(self.age(seen.upstream) >= 1.0 for seen in pool)
         self.usual_sends = self.went.read(now) / warm if warm else own * WINDOW / SECOND / max(1, len(pool))
         # Until latencies and a rate exist the draw is even.
-        shares = level(self.costs(sure, mean), rate) if mean and rate >= 1.0 else [1.0] * len(sure)
+        shares = level(self.costs(sure, mean), rate) if mean and rate >= 1.0 else [seen.upstream.size for seen in sure]
         for seen, share in zip(sure, shares):
             seen.share = share * self.age(seen.upstream)
         total = sum(seen.share for seen in sure) or 1.0
@@ -470,12 +470,14 @@
                 far = self.crossing if seen.upstream.zone != self.zone else 0.0
                 known[seen] = 1.0 / (mean * seen.ratio(now) + far) + seen.given
         middle = sum(known.values()) / len(known) if known else 1.0 / mean
+        size = sum(seen.upstream.size for seen in sure) / len(sure)
         costs = []
         for seen in sure:
             seen.given = max(0.0, middle - 1.0 / mean) if seen.given is None else seen.given
-            # What was measured counts against three answers at the mean: who is little heard of is near it.
-            heard = seen.answers.read(now)
-            costs.append((heard + 3.0) / (heard * known.get(seen, middle) + 3.0 * middle))
+            # What was measured counts against three answers at the mean: who is little heard of is near it,
+            # by its listed size where that is told.
+            heard, usual = seen.answers.read(now), middle * seen.upstream.size / size
+            costs.append((heard + 3.0) / (heard * known.get(seen, usual) + 3.0 * usual))
         return costs
 
     def make_room(self, seen: Seen) -> None:
