The list is asked for at times spread by chance, and later after each call in vain; no wait told where none is

All balancers asked in the same instant, then every second; a list that can send 200 lines a second answers some of 82 calls of up to 79 lines. limits.retry_after is read: a turn-back carries its wait only where clients are given it.

--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -24,7 +24,7 @@
 
 PASS, KEEP, END = "pass on", "keep", "end"
 PERIOD = SECOND  # between solves; the design page's
-SOLVE, TICK = 1, 2  # alarm tokens
+SOLVE, TICK, ASK = 1, 2, 3  # alarm tokens
 FORM, MESSAGE = 1, Struct("<B3f")  # what balancers tell one another: form, rate, answers, seconds they took
 GAIN, IN_USE, START_WIDE, LEAST_WIDE, MOST_WIDE = 1.0, 0.85, 2.0, 1.5, 6.0
 FRESH = SECOND // 2
@@ -338,8 +338,8 @@
         """How many upstreams of a list to keep to."""
         if self.warm_keys:
             return count  # a key should meet the same upstreams at every balancer
-        # Guards against knowing little of many, and against more balancers at an upstream than there is room for
-        # tasks, as each may send one: by its part of all traffic each has so many that they are no more.
+        # Guards against knowing little of many, and against more balancers at an upstream than it has room for
+        # tasks, as each may send one: with so many by its part of all traffic they are no more.
         now = self.host.now
         own = self.arrived.rate(now)
         wide = sum(seen.wide for seen in self.pool) / len(self.pool) if self.pool else self.start_wide
@@ -605,9 +605,32 @@
             workload.known = Known(workload, host.now)
         self.entry, self.again = Entry(self, settings), Again(self, settings)
         self.split = Split(self, settings, seed)
-        self.subscribe = settings.get("discovery") == "subscribe"  # asked for at the next solve
+        self.following, self.tries, self.ask_at = False, 0, 0
+        self.configure(settings)
         host.alarm(host.now, SOLVE)
 
+    def configure(self, settings: dict[str, Any]) -> None:
+        self.asks = settings.get("discovery") == "subscribe"
+        # Half of what a balancer that does not ask is forgiven: asked at the latest then, and again.
+        self.ask_within = int(settings.get("rules.ask_within", 10 * SECOND)) // 2
+        self.retry_after = bool(settings.get("limits.retry_after", True))  # whether clients are told `wait`
+        if self.asks and not self.following:
+            self.ask_later()
+
+    def ask_later(self) -> None:
+        # Guards against a bank that asks in step for a list that can only answer so many: by chance within
+        # two seconds, and within twice as long after each call that was in vain.
+        within = min(2 * SECOND << min(self.tries, 9), self.ask_within)
+        least = 0.5 if self.tries else 0.0  # a call may take as long to be answered
+        self.ask_at = self.host.now + int(within * (least + (1.0 - least) * self.split.random())) + 1
+        self.host.alarm(self.ask_at, ASK)
+
+    def list_lost(self) -> None:
+        """A call for the list was in vain, or it is followed no longer; what was listed stays till told."""
+        self.following = False
+        if self.asks:
+            self.ask_later()
+
     def change(self, settings: dict[str, Any], workloads: list[Workload]) -> None:
         """Go on by other settings; what is known of upstreams, and of workloads that stay, is kept."""
         self.workloads = workloads
@@ -615,11 +638,13 @@
             workload.known = workload.known or Known(workload, self.host.now)
         for stage in (self.entry, self.again, self.split):
             stage.configure(settings)
-        self.subscribe = self.subscribe or settings.get("discovery") == "subscribe"
+        self.configure(settings)
         self.split.solve()
         self.entry.rank()
 
     def listed(self, upstreams: list[Upstream]) -> None:
+        self.following = self.following or self.tries > 0
+        self.tries = 0
         self.split.listed(upstreams)
         self.entry.release()
 
@@ -656,7 +681,7 @@
         """The final answer to a task that was not fulfilled: turned back if that is true to say."""
         if self.again.harmless(task) and self.host.now < task.ends:
             # A quarter of the agreed time: a jam has moved on, and the next try can still be in time.
-            self.host.turn_back(task, task.workload.agreed_time // 4)
+            self.host.turn_back(task, task.workload.agreed_time // 4 if self.retry_after else 0)
         else:
             self.host.scrap(task)
         return END
@@ -683,12 +708,15 @@
         now = self.host.now
         if token == SOLVE:
             self.host.alarm(now + PERIOD, SOLVE)
-            if self.subscribe:
-                self.host.follow_list(True)
-            self.subscribe = False
             self.split.solve()
             self.split.speak(self.split.arrived.rate(now))
             self.entry.rank()
+        elif token == ASK:
+            if self.asks and not self.following and now >= self.ask_at:
+                self.host.follow_list(True)
+                self.tries += 1
+                self.ask_later()  # unless the list comes
+            return
         elif now >= self.next_wake:
             self.next_wake = 0
         self.again.check()
--- a/whinpier/simhost/instance.py
+++ b/whinpier/simhost/instance.py
@@ -85,7 +85,7 @@
 
     def targets(self, scope: int, entries: list[tuple[Any, ...]]) -> None:
         if scope == wire.SCOPE_FAILED:
-            self.choice.subscribe = True
+            self.choice.list_lost()
             return
         held = {} if scope in (wire.SCOPE_FULL, wire.SCOPE_CACHED) else dict(self.listed)
         for state, number, zone, started, size, cell, shape in entries:
