Settings switch there and back in a running balancer; keys no longer steer tasks

SIGHUP follows all settings on the platform, refused as a whole if faulty; what the protocol has no way for (probes, messages) is named and not waited for; whinpier config platform FILE checks one. An upstream that does not send the reports it promised counts as one that gives none after twenty answers. A story-less hole closed: costs of an empty list divided by nothing.

--- a/benchmarks/fullsize.py
+++ b/benchmarks/fullsize.py
@@ -78,7 +78,7 @@
     """Ever new upstreams, keys and tasks: what there is of each type must not grow."""
     replaced = [{"kind": "replace", "at": float(at), "span": 20.0, "share": 0.6}
                 for at in range(10, int(seconds) - 20, 30)]
-    given = {"name": "hour", "seconds": seconds, "warm": 5.0, "policy": {"warm_keys": True},
+    given = {"name": "hour", "seconds": seconds, "warm": 5.0,
              "fleet": {"balancers": 3, "machines": [{"count": 10, "cores": 4, "warm_up": 4.0}]},
              "streams": [{"name": "look", "kind": "rerunnable", "rate": 120.0, "work": 0.05,
                           "keys": 1_000_000}],
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -13,23 +13,18 @@
 from collections import deque
 from collections.abc import Iterator
 from itertools import accumulate, count as numbers, islice
-from math import exp, log
+from math import exp
 from random import Random
-from struct import Struct
 from typing import Any
 
 from whinpier.decay import SECOND, Sum
 from whinpier.model import (ERROR, EXCLUSIVE, FULFILLED, FULL, MOOT, NEVER_RAN, NO_CONNECTION, READY,
                             RERUNNABLE, TIMED_OUT, WITHDRAWN, HandOff, Host, Task, Upstream, Workload)
+from whinpier.peers import Peers
 
 PASS, KEEP, END = "pass on", "keep", "end"
 PERIOD = SECOND  # between solves; the design page's
 SOLVE, TICK, ASK = 1, 2, 3  # alarm tokens
-FORM, MESSAGE = 1, Struct("<B3f")  # what balancers tell one another: form, rate, answers, seconds they took
-GAIN, IN_USE, START_WIDE, LEAST_WIDE, MOST_WIDE = 1.0, 0.85, 2.0, 1.5, 6.0
-FRESH = SECOND // 2
-PROBES = 0.5
-HEARD = 30 * SECOND  # for which it holds: some are lost, and large banks speak seldom
 WINDOW = 5 * SECOND  # over which sends to a cold upstream are bounded: one a second is a fine grain in it
 
 
@@ -47,15 +42,14 @@
 
     DOUBT = 4.0  # answers overdue: by chance once in e^4, about one in fifty
 
-    def __init__(self, upstream: Upstream, now: int, span: int, wide: float) -> None:
-        self.upstream, self.salt = upstream, upstream.id * 0x9E3779B97F4A7C15
+    def __init__(self, upstream: Upstream, now: int, span: int) -> None:
+        self.upstream = upstream
         self.due, self.answers = Sum(span, now), Sum(span, now)
         self.sends = upstream.sends or Sum(WINDOW, now)
         self.out, self.pull, self.silence, self.missing, self.at, self.heard = 0, 0.0, 0.0, 0.0, now, now
         self.share, self.part, self.room, self.shut_until = 0.0, 1.0, 1.0, 0
-        self.held, self.held_at = 0.0, -FRESH
+        self.wide, self.told, self.held, self.probed, self.mute = 2.0, now, 0.0, 0, 0  # of its load reports
         self.given: float | None = None  # its rate, smoothed as its latency is
-        self.wide, self.told = wide, now
 
     def watch(self, now: int) -> None:
         """Count how many answers were due since last looked at, had its hand-offs taken the usual time."""
@@ -98,11 +92,6 @@
     return [max(0.0, 1.0 / cost - slack) for cost in costs]
 
 
-def mixed(key: int, salt: int) -> float:
-    """A number in (0, 1) that looks random and is the same at every balancer: hashes of numbers are."""
-    return ((hash((key, salt)) & 0xFFFFFFFFFFFFFFFF) + 0.5) / 2.0**64
-
-
 class Entry:
     """First stage: takes a task in; what no upstream has room for is held a moment, then turned back."""
 
@@ -159,11 +148,8 @@
     def release(self) -> None:
         """Send on what is held while there is room: the most worth first, of that the oldest."""
         for tasks in self.held.values():
-            for task in list(islice(tasks, 20)):  # with keys, some behind the first may go where it may not
-                if task.ended or self.choice.run(task, 1) != PASS:
-                    tasks.remove(task)
-                elif not self.choice.split.warm_keys:
-                    break
+            while tasks and (tasks[0].ended or self.choice.run(tasks[0], 1) != PASS):
+                tasks.popleft()
 
     def expire(self) -> None:
         """Turn back what has been held long enough."""
@@ -199,7 +185,8 @@
         self.most = int(settings.get("limits.max_hand_offs", 1))
         self.second_copies = settings.get("limits.second_copies", False)
         self.cancelling = settings.get("limits.cancelling", False)
-        self.rescue = self.second_copies
+        if not self.second_copies:
+            self.due.clear()
 
     def take(self, task: Task) -> str:
         return PASS if not task.hand_offs or self.allowed(task) else self.choice.finish(task)
@@ -242,7 +229,7 @@
         """Look again at a repeatable task when its answer is late."""
         workload = hand_off.task.workload
         due = self.host.now + int(self.LATE * workload.known.usual)
-        if workload.kind != EXCLUSIVE and self.rescue and due < hand_off.task.ends:
+        if workload.kind != EXCLUSIVE and self.second_copies and due < hand_off.task.ends:
             heapq.heappush(self.due, (due, next(self.number), hand_off))
             self.choice.wake(due)
 
@@ -251,23 +238,19 @@
         while self.due and self.due[0][0] <= self.host.now:
             hand_off = heapq.heappop(self.due)[2]
             task = hand_off.task
-            if task.ended or task.opened or hand_off.outcome or hand_off is not task.hand_offs[-1]:
+            if task.ended or hand_off.outcome or hand_off is not task.hand_offs[-1]:
                 continue
             if not hand_off.upstream.seen.doubted(self.host.now, hand_off):
                 self.sent(hand_off)
-            elif (self.allowed(task) and not self.choice.entry.waiting()
-                  and (self.second_copies or not self.choice.split.crowded) and self.afford()):
-                if self.second_copies:
-                    self.choice.split.take(task)
-                else:  # one hand-off out at a time: the next goes out when this one's outcome has come
-                    self.host.withdraw(hand_off)
+            elif self.allowed(task) and not self.choice.entry.waiting() and self.afford():
+                self.choice.split.take(task)
 
     def back(self, hand_off: HandOff, first: bool) -> None:
         task = hand_off.task
         others = [other for other in task.hand_offs if not other.outcome]
-        if task.ended or task.opened or (others and self.host.now < task.ends):
+        if task.ended or (others and self.host.now < task.ends):
             self.call_off(others if first else [])
-        elif hand_off.outcome in NEVER_RAN or hand_off.outcome == WITHDRAWN or self.afford():
+        elif hand_off.outcome in NEVER_RAN or self.afford():
             if self.choice.run(task, 1) == PASS:
                 self.choice.entry.hold(task)
         else:
@@ -284,7 +267,12 @@
 
     TRIALS = 0.01  # of sends, to idle upstreams; the design page's
     LEAST = 2  # upstreams to choose from: with one bad there is still one
-    TABLE = 2  # balancers at an upstream
+    MOST = 6.0  # out at an upstream from all balancers: room for one with a few cores, busy and kept so
+    IN_USE = 0.85  # the part in use that a reporting upstream is kept to: what waits there beyond it is late
+    MUTE = 20  # answers without a load report, after which an upstream counts as one that gives none
+    PROBES = 0.5  # a task: each upstream of a part some times a second, and 0.3 % of a task's work
+    FRESH = SECOND // 2  # a probe's word holds: a few turns of what is in work
+    SPEAK = 20.0  # messages a second that each balancer gets at most, however many there are
 
     def __init__(self, choice: Choice, settings: dict[str, Any], seed: int) -> None:
         self.choice, self.host = choice, choice.host
@@ -294,25 +282,19 @@
         self.pool: list[Seen] = []  # the part of it that this balancer keeps to
         self.drawn: list[Seen] = []  # those with a share
         self.bounds: list[float] = []  # running sums of their shares
-        self.keys: dict[int, Sum] = {}  # how often each was asked for
-        self.ranks: dict[int, tuple[list[Seen], int]] = {}  # of a key, until the next solve: its upstreams
         self.span = 3 * SECOND
         self.arrived, self.went = Sum(self.span, self.host.now), Sum(WINDOW, self.host.now)
         self.ease = 0.0  # the least mean latency of late, in seconds
         self.configure(settings)
-        self.probing, self.turn = 0.0, self.number
+        self.peers, self.traffic, self.probing, self.turn = Peers(), 1.0 / self.balancers, 0.0, self.number
         self.total, self.owed, self.usual_sends, self.sharing, self.crowded = 0, 0.0, 0.0, 1.0, False
-        self.told: dict[int, tuple[int, float, float, float]] = {}  # by other balancers: when, and what
-        self.heard = 0.0, 0.0
 
     def configure(self, settings: dict[str, Any]) -> None:
         self.balancers = max(1, int(settings.get("balancers", 1)))
         self.reports = "busy" in settings.get("report.columns", [])
-        self.start_wide = START_WIDE if self.reports else MOST_WIDE
         self.probes = settings.get("limits.probes", False) and settings.get("report.source") == "on_probe"
-        self.peers = bool(settings.get("limits.peers", False))
+        self.tells = bool(settings.get("limits.peers", False)) and self.balancers > 1
         self.number, self.zone = int(settings.get("slot_no", 0)), settings.get("zone", 0)
-        self.warm_keys = bool(settings.get("family_info.warm_keys", False))
         self.cold_from = float(settings.get("rules.cold_from", 1.0))
         self.cold = int(settings.get("rules.cold", 0))  # the time it takes to warm up
         agreed = [workload.agreed_time / SECOND for workload in self.choice.workloads]
@@ -323,7 +305,7 @@
         """Follow the list: what drains or is missing gets nothing new from this moment on."""
         for upstream in upstreams:
             if upstream.seen is None:
-                seen = upstream.seen = Seen(upstream, self.host.now, self.span, self.start_wide)
+                seen = upstream.seen = Seen(upstream, self.host.now, self.span)
                 # Guards against hundreds of balancers that each send a fresh upstream its first task at once.
                 start = self.cold_bound(seen) + self.random() if self.ready else 0.0
                 seen.sends.value = max(seen.sends.value, start)
@@ -336,15 +318,10 @@
 
     def want(self, count: int) -> int:
         """How many upstreams of a list to keep to."""
-        if self.warm_keys:
-            return count  # a key should meet the same upstreams at every balancer
-        # Guards against knowing little of many, and against more balancers at an upstream than it has room for
-        # tasks, as each may send one: with so many by its part of all traffic they are no more.
-        now = self.host.now
-        own = self.arrived.rate(now)
-        wide = sum(seen.wide for seen in self.pool) / len(self.pool) if self.pool else self.start_wide
-        part = (own + 1.0) / (self.fleet(own, now) + self.balancers)
-        return min(count, max(self.LEAST, int(wide * count * part + 0.5)))
+        # Guards against knowing little of many, and against more balancers at an upstream than there is room
+        # for tasks, as each may send one: with so many by its part of all traffic they are no more.
+        wide = sum(seen.wide for seen in self.pool) / len(self.pool) if self.pool else self.MOST
+        return min(count, max(self.LEAST, int(wide * count * self.traffic + 0.5)))
 
     def choose(self) -> None:
         """Keep to every n-th upstream of the sorted list, from a start of this balancer's own."""
@@ -361,24 +338,31 @@
             self.host.close_idle(pool.pop(int(self.random() * len(pool))).upstream)
         self.pool = pool
 
+    def tell(self) -> None:
+        """Say the own rate to all, once there is one: a rate of nothing makes others think them alone."""
+        now = self.host.now
+        if self.tells and now >= self.arrived.begun + PERIOD and self.random() < self.SPEAK / self.balancers:
+            self.host.tell(None, self.peers.pack(self.arrived.rate(now)))
+
     def probe(self) -> None:
         """Ask upstreams for their load in turn, as often as tasks come."""
-        self.probing += PROBES
+        self.probing += self.PROBES
         if self.probing >= 1.0 and self.pool:
             self.probing, self.turn = 0.0, self.turn + 1
             self.host.probe(self.pool[self.turn % len(self.pool)].upstream)
 
     def reported(self, seen: Seen, load: dict[str, float]) -> None:
-        """What an upstream says of its load, by itself or when probed."""
-        now, busy = self.host.now, load.get("busy")
+        """What an upstream says of its load, with an answer or when probed."""
+        now = self.host.now
         seen.given = load.get("fulfilled_rate", seen.given)
-        if "held" in load and self.probes:
-            seen.held, seen.held_at = load["held"], now
-        if busy is not None:
-            # What keeps it in use, and no more: more only waits there, and may slow it.
+        if self.probes and "held" in load:
+            seen.held, seen.probed = load["held"], now
+        if "busy" in load:
+            # Guards against room for six at one of a single core: its room grows and shrinks by e a second
+            # for each whole part in use that is missing or too many, to what just keeps it in use.
             span = min(now - seen.told, SECOND) / SECOND
-            seen.wide = min(max(seen.wide * exp(GAIN * (IN_USE - busy) * span), LEAST_WIDE), MOST_WIDE)
-            seen.told = now
+            seen.wide = min(max(seen.wide * exp((self.IN_USE - load["busy"]) * span), 1.5), self.MOST)
+            seen.told, seen.mute = now, 0
 
     def age(self, upstream: Upstream) -> float:
         old = self.host.now - upstream.started
@@ -392,15 +376,14 @@
 
     def solve(self) -> None:
         """Find the shares for the next period."""
-        self.choose()
-        if len(self.keys) > 5000:  # some 1 MB: what has not come for long is let go
-            self.keys = {key: asked for key, asked in self.keys.items() if asked.read(self.host.now) > 0.1}
-        now, pool, sure = self.host.now, self.pool, self.sure()
+        now = self.host.now
         own, mean = self.arrived.rate(now), self.measure(now)
-        fleet, part = self.fleet(own, now), len(pool) / max(1, len(self.ready))
-        rate = fleet * part  # of all balancers, at these upstreams
-        # One task a second each as a start: before anything came all balancers are alike.
-        self.sharing = max(1.0, (fleet + self.balancers) / (own + 1.0) * part)
+        fleet = self.peers.rate(own, self.balancers, now)
+        # Its part of all traffic. One task a second each as a start: before anything came all are alike.
+        self.traffic = (own + 1.0) / (fleet + self.balancers)
+        self.choose()
+        pool, sure, part = self.pool, self.sure(), len(self.pool) / max(1, len(self.ready))
+        rate, self.sharing = fleet * part, max(1.0, part / self.traffic)  # of all, at these upstreams
         # Latencies fade over the time it takes to hear some thirty answers of each: fewer say little where
         # tasks differ much. Bounds: three seconds, and half of what a trouble usually lasts.
         self.span = int(min(max(30.0 * len(pool) / max(own, 1.0), 3.0), 10.0) * SECOND)
@@ -412,7 +395,8 @@
         warm = sum(self.age(seen.upstream) >= 1.0 for seen in pool)
         self.usual_sends = self.went.read(now) / warm if warm else own * WINDOW / SECOND / max(1, len(pool))
         # Until latencies and a rate exist the draw is even.
-        shares = level(self.costs(sure, mean), rate) if mean and rate >= 1.0 else [seen.upstream.size for seen in sure]
+        known = mean and rate >= 1.0
+        shares = level(self.costs(sure, mean), rate) if known else [seen.upstream.size for seen in sure]
         for seen, share in zip(sure, shares):
             seen.share = share * self.age(seen.upstream)
         total = sum(seen.share for seen in sure) or 1.0
@@ -421,31 +405,9 @@
             seen.share /= total
             if seen.given is not None:
                 seen.given += (seen.share * rate - seen.given) * step
-        self.drawn, self.ranks = [seen for seen in sure if seen.share > 0.0], {}
+        self.drawn = [seen for seen in sure if seen.share > 0.0]
         self.bounds = list(accumulate(seen.share for seen in self.drawn))
 
-    def speak(self, own: float) -> None:
-        """Tell the others: each hears twenty messages a second at most, however many balancers there are."""
-        begun = self.host.now >= self.arrived.begun + PERIOD  # before, it has nothing to tell
-        if self.peers and begun and self.balancers > 1 and self.random() < 20.0 / self.balancers:
-            self.host.tell(None, MESSAGE.pack(FORM, own, 0.0, 0.0))
-
-    def fleet(self, own: float, now: int) -> float:
-        """The rate of all balancers: who has not said its own of late counts as the others do."""
-        self.told = {who: said for who, said in self.told.items() if said[0] > now - HEARD}
-        rate = own + sum(said[1] for said in self.told.values())
-        return rate * self.balancers / (1 + len(self.told))
-
-    def hear(self, who: int, contents: bytes) -> bool:
-        """Another balancer's figures; False of what can't be read, which may come from another build."""
-        if len(contents) != MESSAGE.size or contents[0] != FORM or not 0 <= who < self.balancers:
-            return False
-        _, rate, answers, took = MESSAGE.unpack(contents)
-        if not (0.0 <= rate < 1e9 and 0.0 <= answers < 1e9 and 0.0 <= took < 1e9):
-            return False
-        self.told[who] = self.host.now, rate, answers, took
-        return True
-
     def measure(self, now: int) -> float:
         """Mean latency in seconds over the mix of workloads as it comes; 0 while nothing is known."""
         took = answers = 0.0
@@ -470,7 +432,7 @@
                 far = self.crossing if seen.upstream.zone != self.zone else 0.0
                 known[seen] = 1.0 / (mean * seen.ratio(now) + far) + seen.given
         middle = sum(known.values()) / len(known) if known else 1.0 / mean
-        size = sum(seen.upstream.size for seen in sure) / len(sure)
+        size = sum(seen.upstream.size for seen in sure) / max(1, len(sure))
         costs = []
         for seen in sure:
             seen.given = max(0.0, middle - 1.0 / mean) if seen.given is None else seen.given
@@ -481,19 +443,20 @@
         return costs
 
     def make_room(self, seen: Seen) -> None:
-        # Guards against crowding, where upstreams lose speed or turn tasks away: by Little's law no more is
-        # out than is answered in a fifth more than the latency at ease, or six at each over all balancers.
-        now = self.host.now
+        # Guards against crowding, where upstreams lose speed or turn tasks away: its part of what all may
+        # have out, or, by Little's law, what is answered in a fifth more than the latency at ease.
+        if not self.reports or seen.mute > self.MUTE:
+            seen.wide = self.MOST
         seen.part = seen.wide / self.sharing
-        if not self.reports:
-            seen.part = max(seen.part, seen.answers.rate(now) * 1.2 * self.ease)
+        if seen.wide == self.MOST:
+            seen.part = max(seen.part, seen.answers.rate(self.host.now) * 1.2 * self.ease)
         seen.room = max(1.0, seen.part) - 0.5  # rounded to whole tasks
 
     def open_to(self, seen: Seen, task: Task) -> bool:
         """Whether the rules and plain sense let this upstream have the task."""
         upstream, now = seen.upstream, self.host.now
-        if now < seen.held_at + FRESH and seen.held >= seen.part * self.sharing:
-            return False
+        if seen.held >= seen.wide and now < seen.probed + self.FRESH:
+            return False  # a probe has just said that it holds what all may have out
         if (seen.out >= seen.room or now < seen.shut_until or upstream.state != READY
                 or any(sent.upstream is upstream for sent in task.hand_offs)
                 or task.hand_offs and not self.choice.again.fits(task, upstream)):
@@ -504,24 +467,11 @@
         # Guards against pushing over a cold upstream: its part by age of a warm one's, and half more.
         return 1.5 * self.age(seen.upstream) * self.usual_sends
 
-    def draws(self, task: Task) -> Iterator[Seen]:
-        """A few random draws by share; a key steers them, where upstreams know keys, by rendezvous."""
-        if task.key and self.warm_keys and self.drawn:
-            # Over keys the shares hold, while a key meets the same three upstreams at every balancer. Guards
-            # against a popular one overfilling its first: even chance among its part of the upstreams.
-            if task.key not in self.ranks:
-                ranked = sorted(self.drawn, key=lambda seen: -log(mixed(task.key, seen.salt)) / seen.share)
-                now, asked, key = self.host.now, self.choice.again.tasks, self.keys.get(task.key)
-                part = max(0.0, key.read(now) - 1.0) / (asked.read(now) + 10.0) if key else 0.0
-                among = min(len(ranked), int(1.5 + part * len(ranked)))
-                self.ranks[task.key] = ranked[:among + 2], among
-            ranked, among = self.ranks[task.key]
-            first = int(self.random() * among)
-            yield from [ranked[first], *ranked[:first], *ranked[first + 1:]][:3]
-        elif self.drawn:
-            for _ in range(4):  # enough to pass by the few that are in doubt, full or not allowed
-                point = self.random() * self.bounds[-1]
-                yield self.drawn[bisect_right(self.bounds, point, 0, len(self.drawn) - 1)]
+    def draws(self) -> Iterator[Seen]:
+        """A few random draws by share: enough to pass by the few that are in doubt, full or not allowed."""
+        for _ in range(4 if self.drawn else 0):
+            point = self.random() * self.bounds[-1]
+            yield self.drawn[bisect_right(self.bounds, point, 0, len(self.drawn) - 1)]
 
     def find(self, task: Task) -> Seen | None:
         """The upstream for a task; None where nothing may be sent to."""
@@ -543,12 +493,12 @@
                     and (seen.share == 0.0 or seen.doubted(now))]
             if idle:
                 return self.pick(idle)
-        fit = (seen for seen in self.draws(task) if not seen.doubted(now) and self.open_to(seen, task))
+        fit = (seen for seen in self.draws() if not seen.doubted(now) and self.open_to(seen, task))
         found = next(fit, None)
         if found is not None and found.out > most:
             found = next(fit, found)  # over twice the mean is out there: drawn once more
-        if found is not None or (task.key and self.warm_keys and self.drawn and not task.hand_offs):
-            return found  # a first send with a key rather waits for the upstreams that know it
+        if found is not None:
+            return found
         left = (seen for seen in self.sure() if self.open_to(seen, task))
         return min(left, key=lambda seen: seen.out, default=None)
 
@@ -610,26 +560,24 @@
         host.alarm(host.now, SOLVE)
 
     def configure(self, settings: dict[str, Any]) -> None:
+        self.retry_after = bool(settings.get("limits.retry_after", True))  # whether clients are told a wait
         self.asks = settings.get("discovery") == "subscribe"
-        # Half of what a balancer that does not ask is forgiven: asked at the latest then, and again.
+        # Half of the time for which one that does not ask is forgiven.
         self.ask_within = int(settings.get("rules.ask_within", 10 * SECOND)) // 2
-        self.retry_after = bool(settings.get("limits.retry_after", True))  # whether clients are told `wait`
-        if self.asks and not self.following:
-            self.ask_later()
+        self.ask_later()
 
     def ask_later(self) -> None:
-        # Guards against a bank that asks in step for a list that can only answer so many: by chance within
-        # two seconds, and within twice as long after each call that was in vain.
-        within = min(2 * SECOND << min(self.tries, 9), self.ask_within)
-        least = 0.5 if self.tries else 0.0  # a call may take as long to be answered
-        self.ask_at = self.host.now + int(within * (least + (1.0 - least) * self.split.random())) + 1
-        self.host.alarm(self.ask_at, ASK)
+        # Guards against a bank that asks in step for a list that can answer only so many: by chance within
+        # two seconds, and within twice as long after each call in vain, which may itself take half of that.
+        if self.asks and not self.following:
+            within, chance = min(2 * SECOND << min(self.tries, 9), self.ask_within), self.split.random()
+            self.ask_at = self.host.now + int(within * (0.5 + chance / 2 if self.tries else chance)) + 1
+            self.host.alarm(self.ask_at, ASK)
 
     def list_lost(self) -> None:
         """A call for the list was in vain, or it is followed no longer; what was listed stays till told."""
         self.following = False
-        if self.asks:
-            self.ask_later()
+        self.ask_later()
 
     def change(self, settings: dict[str, Any], workloads: list[Workload]) -> None:
         """Go on by other settings; what is known of upstreams, and of workloads that stay, is kept."""
@@ -643,16 +591,13 @@
         self.entry.rank()
 
     def listed(self, upstreams: list[Upstream]) -> None:
-        self.following = self.following or self.tries > 0
-        self.tries = 0
+        self.following, self.tries = self.following or self.tries > 0, 0
         self.split.listed(upstreams)
         self.entry.release()
 
     def arrive(self, task: Task) -> None:
         for asked in (self.split.arrived, self.again.tasks, task.workload.known.asked):
             asked.add(self.host.now)
-        if task.key and self.split.warm_keys:
-            self.split.keys.setdefault(task.key, Sum(5 * SECOND, self.host.now)).add(self.host.now)
         if self.split.probes:
             self.split.probe()
         if self.run(task, 0) == PASS:
@@ -687,16 +632,11 @@
         return END
 
     def left(self, task: Task) -> None:
-        self.again.call_off([] if task.opened else task.hand_offs)
-
-    def opened(self, hand_off: HandOff) -> None:
-        """Its answer has begun to stream: the upstream answers, and other copies are not needed."""
-        hand_off.upstream.seen.answered(self.host.now)
-        self.again.call_off([other for other in hand_off.task.hand_offs if other is not hand_off])
+        self.again.call_off(task.hand_offs)
 
-    def told(self, balancer: int, contents: bytes) -> bool:
-        """Another balancer's message; whether it could be read."""
-        return self.split.hear(balancer, contents)
+    def told(self, balancer: int, contents: bytes) -> None:
+        """Another balancer's message."""
+        self.split.peers.hear(balancer, contents, self.split.balancers, self.host.now)
 
     def wake(self, at: int) -> None:
         """See that `bell` rings by then."""
@@ -709,15 +649,13 @@
         if token == SOLVE:
             self.host.alarm(now + PERIOD, SOLVE)
             self.split.solve()
-            self.split.speak(self.split.arrived.rate(now))
+            self.split.tell()
             self.entry.rank()
-        elif token == ASK:
-            if self.asks and not self.following and now >= self.ask_at:
-                self.host.follow_list(True)
-                self.tries += 1
-                self.ask_later()  # unless the list comes
-            return
-        elif now >= self.next_wake:
+        elif token == ASK and self.asks and not self.following and now >= self.ask_at:
+            self.host.follow_list(True)
+            self.tries += 1
+            self.ask_later()  # unless the list comes
+        elif token == TICK and now >= self.next_wake:
             self.next_wake = 0
         self.again.check()
         self.entry.release()
--- a/whinpier/cli/main.py
+++ b/whinpier/cli/main.py
@@ -59,7 +59,28 @@
 
 @cli.group()
 def config() -> None:
-    """Check an operator's file and ask what it means."""
+    """Check a configuration and ask what it means."""
+
+
+@config.command()
+@click.argument("file", type=FILE)
+@click.option("--json", "as_json", is_flag=True, help="Print it as JSON.")
+def platform(file: Path, as_json: bool) -> None:
+    """Check FILE, the platform's JSON, as a balancer reads it at its start and at SIGHUP."""
+    from whinpier.config import platform as settings
+
+    try:
+        spec = settings.read(os.environ | {"BALANCER_CONFIG": str(file)})
+    except ConfigFault as fault:
+        fail(str(fault))
+    workloads = [workload.name for pool in spec.pools.values() for workload in pool.workloads]
+    if as_json:
+        click.echo(json.dumps({"file": str(file), "name": spec.name, "workloads": workloads,
+                               "not_honoured": spec.not_honoured}, indent=1))
+        return
+    click.echo(f"{file}: good; {len(workloads)} workloads")
+    for key in spec.not_honoured:
+        click.echo(f"{key}: not honoured, the protocol has no way for it")
 
 
 @config.command()
--- a/whinpier/config/operator.py
+++ b/whinpier/config/operator.py
@@ -94,8 +94,8 @@
     tenants: list[str] = []
     hand_offs: Annotated[int, Meta(ge=1, le=16)] = 3
     second_copies: bool = False
+    warm_keys: bool = False  # no longer there: said, not passed over
     cancelling: bool = True
-    warm_keys: bool = False
     warm_up: Duration = "0s"
     cold_from: Annotated[float, Meta(gt=0.0, le=1.0)] = 1.0
     connect_timeout: Duration = "250ms"
@@ -201,6 +201,8 @@
         raise ConfigFault(f"{at}.workloads: none is named")
     if table.zone and table.zone not in table.zones:
         raise ConfigFault(f"{at}.zone: {table.zone!r} is not in zones")
+    if table.warm_keys:
+        raise ConfigFault(f"{at}.warm_keys: keys no longer steer tasks; take it out")
     if table.number >= table.balancers:
         raise ConfigFault(f"{at}.number: {table.number} is not below balancers, {table.balancers}")
     workloads = [workload(named(key, f"{at}.workloads"), inner, f"{at}.workloads.{key}")
@@ -209,7 +211,7 @@
         "balancers": table.balancers, "slot_no": table.number,
         "zone": table.zones.index(table.zone) if table.zone else 0,
         "limits.max_hand_offs": table.hand_offs, "limits.second_copies": table.second_copies,
-        "limits.cancelling": table.cancelling, "family_info.warm_keys": table.warm_keys,
+        "limits.cancelling": table.cancelling,
         "rules.cold": duration(table.warm_up, f"{at}.warm_up"), "rules.cold_from": table.cold_from,
         "goal.whole": table.whole, "goal.worst_class": table.worst, "prices.cross_zone": table.crossing,
         "report.columns": [],
--- a/whinpier/config/platform.py
+++ b/whinpier/config/platform.py
@@ -9,14 +9,20 @@
 
 import json
 from collections.abc import Iterator, Mapping
-from dataclasses import fields
 from math import isfinite
 from typing import Any
 
 from whinpier import settings as common
 from whinpier.files import contents
 from whinpier.model import WireError, Workload
-from whinpier.spec import PLATFORM, ConfigFault, PoolSpec, Spec, address, entries
+from whinpier.spec import (KEPT_TILL_RESTART, PLATFORM, ConfigFault, PoolSpec, Spec, address,
+                           entries)
+
+
+CHOICES = {
+    "discovery": ("automatic", "subscribe"), "report.source": ("off", "inline", "on_probe"),
+    "weights": ("off", "nominal", "rough", "live"),
+}
 
 
 def flat(value: Any, at: str = "") -> Iterator[tuple[str, Any]]:
@@ -52,6 +58,22 @@
     return value
 
 
+def one_of(found: dict[str, Any], key: str, known: tuple[str, ...]) -> None:
+    if found.get(key, known[0]) not in known:
+        raise ConfigFault(f"{key}: {found[key]!r} is none of {', '.join(known)}")
+
+
+def honoured(found: dict[str, Any]) -> list[str]:
+    """Take back what the protocol has no way for, so that no decision waits for it; the keys of what was."""
+    # Guards against rooms that wait for reports which only a probe would bring.
+    refused = [key for key in ("limits.peers", "limits.probes") if found.get(key)]
+    found.update(dict.fromkeys(refused, False))
+    if found.get("report.source") == "on_probe":
+        refused.append("report.source")
+        found["report.source"], found["report.columns"] = "off", []
+    return refused
+
+
 def check_settings(found: dict[str, Any]) -> list[Workload]:
     """The workloads, after every figure that the balancer or its decisions rely on has been looked at."""
     checked(found, "workloads.count", int, None, 1)
@@ -61,12 +83,20 @@
         checked(found, f"workloads.{index}.payoff", float, 1.0, 0)
         checked(found, f"workloads.{index}.window", int, 0, 0)
     for key, least in {"balancers": 1, "slot_no": 0, "zone": 0, "limits.max_hand_offs": 1, "rules.cold": 0,
-                       "limits.connect_timeout": 1, "limits.keepalive": 1}.items():
+                       "limits.connect_timeout": 1, "limits.keepalive": 1, "rules.ask_within": 1}.items():
         checked(found, key, int, least, least)
     for key in ("goal.whole", "goal.worst_class", "rules.cold_from", "prices.cross_zone"):
         checked(found, key, float, 0.0, 0)
-    for key in ("limits.cancelling", "limits.second_copies", "family_info.warm_keys"):
+    for key in ("limits.cancelling", "limits.second_copies", "limits.peers", "limits.probes",
+                "limits.retry_after"):
         checked(found, key, bool, False)
+    for key, known in CHOICES.items():
+        one_of(found, key, known)
+    for name in found["report.columns"]:
+        if name not in common.COLUMNS.values():
+            raise ConfigFault(f"report.columns: {name!r} is none of {', '.join(common.COLUMNS)}")
+    for index in range(found["workloads.count"]):
+        one_of(found, f"workloads.{index}.key_scope", ("all", "zone", "cell"))
     try:
         return common.workloads(found)
     except (WireError, TypeError, ValueError) as fault:
@@ -108,6 +138,7 @@
         raise ConfigFault("settings: is missing")
     found = common.settings(flat(checked(given, "settings", dict, {})))
     workloads = check_settings(found)
+    refused = honoured(found)
     pool = PoolSpec(
         name=PLATFORM, settings=found, workloads=workloads, zones=names(found, "failure_domains"),
         kinds=names(found, "kinds"), tenants=names(found, "orgs"),
@@ -124,14 +155,10 @@
         # A lean deployment's share, where none is told; below 16 MB nothing like this starts.
         memory=checked({"limits.memory_mb": limits.get("memory_mb", 192)},
                        "limits.memory_mb", int, 192, 16) << 20,
-        pools={PLATFORM: pool},
+        pools={PLATFORM: pool}, not_honoured=refused,
     )
 
 
 def changes(old: Spec, new: Spec) -> list[str]:
-    """Which keys a new configuration has otherwise. The seed and the list of `known` are for a start only."""
-    # Workloads are settings too; discovery is followed at once.
-    passed_over = ("seed", "known", "seq", "workloads", "pools", "discovery")
-    pairs = ((old, new), (old.pools[PLATFORM], new.pools[PLATFORM]))
-    return [key.name for before, after in pairs for key in fields(before)
-            if key.name not in passed_over and getattr(before, key.name) != getattr(after, key.name)]
+    """Which keys wait for a restart. The seed and the list of `known` are for a start only."""
+    return [key for key in KEPT_TILL_RESTART if key != "seed" and getattr(old, key) != getattr(new, key)]
--- a/whinpier/net/routes.py
+++ b/whinpier/net/routes.py
@@ -48,13 +48,12 @@
 
     def __init__(self, pool: Pool) -> None:
         self.target = Target(pool, None, Fields())
-        self.workloads = pool.workloads
 
     def route(self, method: bytes, target: bytes, fields: dict[bytes, bytes],
               headers: Headers) -> tuple[Target, Workload]:
         path = target.partition(b"?")[0]
         lane = path.lstrip(b"/").partition(b"/")[0]
-        workload = self.workloads.get(lane)
+        workload = self.target.pool.workloads.get(lane)  # as the pool has them now
         if workload is None or fields.get(b"x-lane", lane) != lane:
             raise BadRequest(404, f"no such lane: {lane!r}")
         return self.target, workload
--- a/whinpier/runtime/life.py
+++ b/whinpier/runtime/life.py
@@ -77,6 +77,7 @@
         self.stopped, self.collect_from = 0, 0
         self.chance = Random(spec.seed)
         self.pools: dict[str, Pool] = {}
+        self.say_not_honoured()
         self.going: set[Pool] = set()  # pools that finish what they have
         for pool in spec.pools.values():
             self.add(pool)
@@ -159,12 +160,20 @@
         log.say("configured", **discovery, kept_till_restart=kept)
 
     def follow(self, new: Spec) -> None:
-        """The platform's way: only discovery is followed elsewhere, the rest waits for a restart."""
+        """The platform's way: its one pool goes on by the new settings, in one step between two events."""
+        kept = {key: getattr(self.spec, key) for key in KEPT_TILL_RESTART}
+        before, self.spec = self.spec, replace(new, **kept)
+        self.say_not_honoured()
         for name, pool in self.pools.items():
-            address = new.pools[name].discovery
-            if pool.source and address and address != pool.spec.discovery:
-                pool.spec = replace(pool.spec, discovery=address)
-                pool.source.move(address)
+            # `known` is the list for a start; from then on discovery tells it.
+            spec = replace(new.pools[name], known=before.pools[name].known, seq=before.pools[name].seq)
+            if keys := differs(before.pools[name], spec):
+                pool.change(spec)
+                log.say("settings_changed", keys=",".join(keys))
+
+    def say_not_honoured(self) -> None:
+        if self.spec.not_honoured:
+            log.warn("settings_not_honoured", keys=",".join(self.spec.not_honoured))
 
     def as_run(self, new: Spec) -> Spec:
         """A new file as it can be run by: what waits for a restart is as it was."""
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -185,8 +185,11 @@
         elif self.source is None:
             self.source = self.house.watch(self)
             self.start()
-        elif spec.discovery != before.discovery:
-            self.source.move(spec.discovery)
+        else:
+            if (spec.discovery, spec.zones, spec.kinds) != (before.discovery, before.zones, before.kinds):
+                self.source.move(spec.discovery)  # other zones have other places in the whole list
+            if spec.settings.get("discovery") != "subscribe":
+                self.source.follow(True)
 
     # What the decisions ask for.
 
@@ -222,14 +225,14 @@
             self.choice.bell(token)
 
     def probe(self, upstream: Upstream) -> None:
-        """Room for it: nothing decides on findings yet."""
+        """Nothing carries a probe on this protocol: what asks for one does without."""
 
     def close_idle(self, upstream: Upstream) -> None:
         assert isinstance(upstream, Peer)
         upstream.close_idle()
 
     def tell(self, balancer: int | None, contents: bytes) -> None:
-        """Room for it: balancers share nothing."""
+        """Nothing carries a message on this protocol: each balancer takes the others to be like itself."""
 
     def follow_list(self, on: bool) -> None:
         if self.source:
@@ -344,7 +347,8 @@
                     entry = replace(entry, started=self.house.since(entry.dial))
                 peer = self.house.peer(self, entry, hashed(entry.host.encode()))
                 peer.sends = self.house.shared(entry)
-            peer.state, peer.cell, peer.size = entry.state, entry.cell, entry.size
+            peer.state, peer.cell = entry.state, entry.cell
+            peer.size = entry.size if entry.size > 0.0 else 1.0  # nothing is no size
             peer.zone = self.place(self.spec.zones, entry.zone)
             peer.shape = self.place(self.spec.kinds, entry.shape)
             peer.moved(entry.dial)
--- a/whinpier/spec.py
+++ b/whinpier/spec.py
@@ -140,6 +140,7 @@
     beside: dict[str, Beside] = field(default_factory=dict)  # by the protocol's name
     up: bytes = b"/up"  # where a front asks whether this balancer is ready
     isolate: bool = True  # whether pools have guaranteed parts
+    not_honoured: list[str] = field(default_factory=list)  # settings that the protocol has no way for
 
     @property
     def routed(self) -> bool:
