--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -268,7 +268,8 @@
     TRIALS = 0.01  # of sends, to idle upstreams; the design page's
     LEAST = 2  # upstreams to choose from: with one bad there is still one
     MOST = 6.0  # out at an upstream from all balancers: room for one with a few cores, busy and kept so
-    IN_USE = 0.85  # the part in use that a reporting upstream is kept to: what waits there beyond it is late
+    LATE_USE = 0.85  # the part in use that an upstream is kept to whose reports are seconds old
+    IN_USE = 0.95  # and one that was asked just now: what waits there beyond it is late
     MUTE = 20  # answers without a load report, after which an upstream counts as one that gives none
     PROBES = 0.5  # a task: each upstream of a part some times a second, and 0.3 % of a task's work
     FRESH = SECOND // 2  # a probe's word holds: a few turns of what is in work
@@ -360,8 +361,8 @@
         if "busy" in load:
             # Guards against room for six at one of a single core: its room grows and shrinks by e a second
             # for each whole part in use that is missing or too many, to what just keeps it in use.
-            span = min(now - seen.told, SECOND) / SECOND
-            seen.wide = min(max(seen.wide * exp((self.IN_USE - load["busy"]) * span), 1.5), self.MOST)
+            use, span = self.IN_USE if self.probes else self.LATE_USE, min(now - seen.told, SECOND) / SECOND
+            seen.wide = min(max(seen.wide * exp((use - load["busy"]) * span), 1.5), self.MOST)
             seen.told, seen.mute = now, 0
 
     def age(self, upstream: Upstream) -> float:
