--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -11,7 +11,7 @@
 
 from tests.fake_host import MS, FakeHost
 from tests.waiting import LIMIT, until
-from whinpier.choice import WINDOW
+from whinpier.observed import WINDOW
 from whinpier.decay import SECOND, Sum
 from whinpier.model import READY, Upstream, Workload
 from whinpier.runtime.budget import Budget, Part
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -1,7 +1,8 @@
 """Every decision of the balancer: which upstream gets a task, when it is sent again, when it is given up.
 
 A host makes one `Choice` per balancer and calls it as things happen: `listed` with the upstreams it holds,
-`arrive` for a task, `came_back` for a hand-off, `left` when a client goes, `bell` when an alarm falls due.
+`arrive` for a task, `came_back` for a hand-off, `left` when a client goes, `bell` when an alarm falls due,
+`reported` for a probe, `told` for a message of another balancer, `list_lost` when the list can't be had.
 `Choice` calls its `Host`, defined in whinpier/model.py; why it decides as it does stands in docs/design.md.
 A task passes Entry, Again and Split: each passes it on, keeps or ends it; what comes back runs the other way.
 """
@@ -11,7 +12,6 @@
 import heapq
 from bisect import bisect_right
 from collections import deque
-from collections.abc import Iterator
 from itertools import accumulate, count as numbers, islice
 from math import exp
 from random import Random
@@ -20,62 +20,12 @@
 from whinpier.decay import SECOND, Sum
 from whinpier.model import (ERROR, EXCLUSIVE, FULFILLED, FULL, MOOT, NEVER_RAN, NO_CONNECTION, READY,
                             RERUNNABLE, TIMED_OUT, WITHDRAWN, HandOff, Host, Task, Upstream, Workload)
+from whinpier.observed import WINDOW, Known, Seen
 from whinpier.peers import Peers
 
 PASS, KEEP, END = "pass on", "keep", "end"
 PERIOD = SECOND  # between solves; the design page's
 SOLVE, TICK, ASK = 1, 2, 3  # alarm tokens
-WINDOW = 5 * SECOND  # over which sends to a cold upstream are bounded: one a second is a fine grain in it
-
-
-class Known:
-    """What this balancer has observed of one workload."""
-
-    def __init__(self, workload: Workload, now: int) -> None:
-        # 10 s: tells the work of one from the other's, whatever single upstreams do.
-        self.took, self.answers, self.asked, self.kept = (Sum(10 * SECOND, now) for _ in range(4))
-        self.out, self.usual = 0, workload.agreed_time / 4  # mean latency over the fleet; a start until known
-
-
-class Seen:
-    """What this balancer has observed of one upstream."""
-
-    DOUBT = 4.0  # answers overdue: by chance once in e^4, about one in fifty
-
-    def __init__(self, upstream: Upstream, now: int, span: int) -> None:
-        self.upstream = upstream
-        self.due, self.answers = Sum(span, now), Sum(span, now)
-        self.sends = upstream.sends or Sum(WINDOW, now)
-        self.out, self.pull, self.silence, self.missing, self.at, self.heard = 0, 0.0, 0.0, 0.0, now, now
-        self.share, self.part, self.room, self.shut_until = 0.0, 1.0, 1.0, 0
-        self.wide, self.told, self.held, self.probed, self.mute = 2.0, now, 0.0, 0, 0  # of its load reports
-        self.given: float | None = None  # its rate, smoothed as its latency is
-
-    def watch(self, now: int) -> None:
-        """Count how many answers were due since last looked at, had its hand-offs taken the usual time."""
-        if self.pull:
-            missing = self.pull * (now - self.at)
-            self.silence += missing
-            self.missing += missing
-        self.at = now
-
-    def answered(self, now: int) -> None:
-        self.silence, self.heard = 0.0, now
-
-    def ratio(self, now: int) -> float:
-        """Its latency over the fleet's: answers due, with what is still out by its age, over those come."""
-        self.watch(now)
-        self.due.add(now, self.missing)
-        self.missing = 0.0
-        return (self.due.value + 1.0) / (self.answers.read(now) + 1.0)
-
-    def doubted(self, now: int, but: HandOff | None = None) -> bool:
-        # Guards against one that takes tasks and answers none: what is out bounds its latency by its age.
-        self.watch(now)
-        if self.silence <= self.DOUBT:
-            return False
-        # For `but`, a heavy task must not pass for a silent upstream: without it, one more must be overdue.
-        return not but or self.silence - (now - max(but.sent, self.heard)) * but.pull > 1.0
 
 
 def level(costs: list[float], rate: float) -> list[float]:
@@ -185,8 +135,7 @@
         self.most = int(settings.get("limits.max_hand_offs", 1))
         self.second_copies = settings.get("limits.second_copies", False)
         self.cancelling = settings.get("limits.cancelling", False)
-        if not self.second_copies:
-            self.due.clear()
+        self.due = self.due if self.second_copies else []  # no copy is sent by settings of before
 
     def take(self, task: Task) -> str:
         return PASS if not task.hand_offs or self.allowed(task) else self.choice.finish(task)
@@ -197,13 +146,11 @@
 
     def allowed(self, task: Task) -> bool:
         """Whether the rules let the task be sent once more, to whichever upstream `fits`."""
-        if len(task.hand_offs) >= self.most or self.host.now >= task.ends:
-            return False
-        ran, workload = self.may_have_run(task), task.workload
-        if ran is None or workload.kind == RERUNNABLE:
-            return True
+        now, ran, workload = self.host.now, self.may_have_run(task), task.workload
         # A second effect: an exclusive task is never repeated, a ticketed one only while it is remembered.
-        return workload.kind != EXCLUSIVE and self.host.now < ran.sent + workload.window
+        once = (ran is None or workload.kind == RERUNNABLE
+                or workload.kind != EXCLUSIVE and now < ran.sent + workload.window)
+        return once and len(task.hand_offs) < self.most and now < task.ends
 
     def fits(self, task: Task, upstream: Upstream) -> bool:
         """Whether the upstream drops repeats of what may have run before."""
@@ -214,14 +161,12 @@
 
     def harmless(self, task: Task) -> bool:
         """Whether the client may be told that trying again does no harm."""
-        if task.workload.kind == RERUNNABLE or self.may_have_run(task) is None:
-            return True
-        return task.workload.kind != EXCLUSIVE and task.workload.group == "all"
+        kind, everywhere = task.workload.kind, task.workload.group == "all"
+        return kind == RERUNNABLE or self.may_have_run(task) is None or kind != EXCLUSIVE and everywhere
 
     def afford(self) -> bool:
         """Count one repeat, if they are still rare enough not to feed a jam."""
-        now = self.host.now
-        rare = self.copies.read(now) < self.COPIES * self.tasks.read(now) + 1.0
+        rare = self.copies.read(now := self.host.now) < self.COPIES * self.tasks.read(now) + 1.0
         self.copies.add(now, float(rare))
         return rare
 
@@ -240,7 +185,7 @@
             task = hand_off.task
             if task.ended or hand_off.outcome or hand_off is not task.hand_offs[-1]:
                 continue
-            if not hand_off.upstream.seen.doubted(self.host.now, hand_off):
+            if not self.choice.split.doubted(hand_off.upstream.seen, hand_off):
                 self.sent(hand_off)
             elif self.allowed(task) and not self.choice.entry.waiting() and self.afford():
                 self.choice.split.take(task)
@@ -250,21 +195,21 @@
         others = [other for other in task.hand_offs if not other.outcome]
         if task.ended or (others and self.host.now < task.ends):
             self.call_off(others if first else [])
-        elif hand_off.outcome in NEVER_RAN or self.afford():
-            if self.choice.run(task, 1) == PASS:
-                self.choice.entry.hold(task)
-        else:
+        elif hand_off.outcome not in NEVER_RAN and not self.afford():
             self.choice.finish(task)
+        elif self.choice.run(task, 1) == PASS:
+            self.choice.entry.hold(task)
 
     def call_off(self, hand_offs: list[HandOff]) -> None:
-        for hand_off in hand_offs:
-            if not hand_off.outcome and self.cancelling:
+        for hand_off in hand_offs if self.cancelling else []:
+            if not hand_off.outcome:
                 self.host.withdraw(hand_off)
 
 
 class Split:
     """Last stage: draws an upstream by the shares of the min-max solve and hands the task over."""
 
+    DOUBT = 4.0  # answers overdue: by chance once in e^4, about one in fifty
     TRIALS = 0.01  # of sends, to idle upstreams; the design page's
     LEAST = 2  # upstreams to choose from: with one bad there is still one
     MOST = 6.0  # out at an upstream from all balancers: room for one with a few cores, busy and kept so
@@ -283,11 +228,10 @@
         self.pool: list[Seen] = []  # the part of it that this balancer keeps to
         self.drawn: list[Seen] = []  # those with a share
         self.bounds: list[float] = []  # running sums of their shares
-        self.span = 3 * SECOND
+        self.span, self.ease = 3 * SECOND, 0.0  # ease: the least mean latency of late, in seconds
         self.arrived, self.went = Sum(self.span, self.host.now), Sum(WINDOW, self.host.now)
-        self.ease = 0.0  # the least mean latency of late, in seconds
         self.configure(settings)
-        self.peers, self.traffic, self.probing, self.turn = Peers(), 1.0 / self.balancers, 0.0, self.number
+        self.peers, self.traffic, self.turn = Peers(), 1.0 / self.balancers, float(self.number)
         self.total, self.owed, self.usual_sends, self.sharing, self.crowded = 0, 0.0, 0.0, 1.0, False
 
     def configure(self, settings: dict[str, Any]) -> None:
@@ -327,10 +271,10 @@
     def choose(self) -> None:
         """Keep to every n-th upstream of the sorted list, from a start of this balancer's own."""
         pool, count = self.pool, len(self.ready)
-        want, sound = self.want(count), sum(not seen.doubted(self.host.now) for seen in pool)
+        want, sound = self.want(count), sum(not self.doubted(seen) for seen in pool)
         if want == count:
             pool = list(self.ready)
-        # In steps, and with what is connected kept. If most of them are in doubt others are taken besides.
+        # In steps, with what is connected kept. If most of them are in doubt others are taken besides.
         elif 4 * min(len(pool), 2 * sound) <= 3 * want:
             step, start, held = count // want, self.number * count // self.balancers, set(pool)
             walk = (self.ready[(start + at) % count] for at in sorted(range(count), key=lambda at: at % step))
@@ -340,20 +284,19 @@
         self.pool = pool
 
     def tell(self) -> None:
-        """Say the own rate to all, once there is one: a rate of nothing makes others think them alone."""
-        now = self.host.now
+        now = self.host.now  # once there is a rate: of nothing, others would think that they are alone
         if self.tells and now >= self.arrived.begun + PERIOD and self.random() < self.SPEAK / self.balancers:
             self.host.tell(None, self.peers.pack(self.arrived.rate(now)))
 
-    def probe(self) -> None:
-        """Ask upstreams for their load in turn, as often as tasks come."""
-        self.probing += self.PROBES
-        if self.probing >= 1.0 and self.pool:
-            self.probing, self.turn = 0.0, self.turn + 1
-            self.host.probe(self.pool[self.turn % len(self.pool)].upstream)
+    def came(self) -> None:
+        """Count a task; as often as they come upstreams are asked for their load, in turn."""
+        self.arrived.add(self.host.now)
+        self.turn += self.PROBES
+        if self.probes and self.turn % 1.0 < self.PROBES and self.pool:
+            self.host.probe(self.pool[int(self.turn) % len(self.pool)].upstream)
 
     def reported(self, seen: Seen, load: dict[str, float]) -> None:
-        """What an upstream says of its load, with an answer or when probed."""
+        """Take in what an upstream says of its load."""
         now = self.host.now
         seen.given = load.get("fulfilled_rate", seen.given)
         if self.probes and "held" in load:
@@ -366,13 +309,19 @@
             seen.told, seen.mute = now, 0
 
     def age(self, upstream: Upstream) -> float:
-        old = self.host.now - upstream.started
-        warm = not upstream.started or old >= self.cold
-        return 1.0 if warm else self.cold_from + (1.0 - self.cold_from) * max(0, old) / self.cold
+        old = self.host.now - upstream.started if upstream.started else self.cold
+        return 1.0 if old >= self.cold else self.cold_from + (1.0 - self.cold_from) * max(0, old) / self.cold
+
+    def doubted(self, seen: Seen, but: HandOff | None = None) -> bool:
+        # Guards against one that takes tasks and answers none: what is out bounds its latency by its age.
+        seen.watch(now := self.host.now)
+        # For `but`, a heavy task must not pass for a silent upstream: without it, one more must be overdue.
+        return seen.silence > self.DOUBT and (
+            not but or seen.silence - (now - max(but.sent, seen.heard)) * but.pull > 1.0)
 
     def sure(self) -> list[Seen]:
         """Those that answer. Where most seem silent at once it is no fault of theirs: then all of them."""
-        sure = [seen for seen in self.pool if not seen.doubted(self.host.now)]
+        sure = [seen for seen in self.pool if not self.doubted(seen)]
         return sure if 2 * len(sure) >= len(self.pool) else self.pool
 
     def solve(self) -> None:
@@ -389,19 +338,17 @@
         # tasks differ much. Bounds: three seconds, and half of what a trouble usually lasts.
         self.span = int(min(max(30.0 * len(pool) / max(own, 1.0), 3.0), 10.0) * SECOND)
         for seen in pool:
-            seen.due.span = seen.answers.span = self.span
-            seen.share = 0.0
+            seen.share, seen.due.span, seen.answers.span = 0.0, self.span, self.span
             self.make_room(seen)
         # What a warm upstream usually gets from here in the window: the measure for a cold one.
         warm = sum(self.age(seen.upstream) >= 1.0 for seen in pool)
         self.usual_sends = self.went.read(now) / warm if warm else own * WINDOW / SECOND / max(1, len(pool))
         # Until latencies and a rate exist the draw is even.
-        known = mean and rate >= 1.0
-        shares = level(self.costs(sure, mean), rate) if known else [seen.upstream.size for seen in sure]
+        shares = level(self.costs(sure, mean), rate) if mean and rate >= 1.0 else [1.0] * len(sure)
         for seen, share in zip(sure, shares):
             seen.share = share * self.age(seen.upstream)
-        total = sum(seen.share for seen in sure) or 1.0
-        step = 1.0 - exp(-PERIOD / self.span)  # rates are smoothed over the same time as latencies
+        # Rates are smoothed over the same time as latencies.
+        total, step = sum(seen.share for seen in sure) or 1.0, 1.0 - exp(-PERIOD / self.span)
         for seen in sure:  # who is in doubt keeps the rate it carried before
             seen.share /= total
             if seen.given is not None:
@@ -415,8 +362,7 @@
         for workload in self.choice.workloads:
             known, answered = workload.known, workload.known.answers.read(now)
             known.usual = known.took.read(now) / answered if answered > 0.5 else known.usual
-            answers += answered
-            took += known.took.value
+            answers, took = answers + answered, took + known.took.value
         mean = took / answers / SECOND if answers > 0.5 else 0.0
         # Against fifty answers, and after three seconds: the quickest come first, and a restarted balancer
         # must not think them usual. Forgotten slower than a trouble lasts.
@@ -433,14 +379,12 @@
                 far = self.crossing if seen.upstream.zone != self.zone else 0.0
                 known[seen] = 1.0 / (mean * seen.ratio(now) + far) + seen.given
         middle = sum(known.values()) / len(known) if known else 1.0 / mean
-        size = sum(seen.upstream.size for seen in sure) / max(1, len(sure))
         costs = []
         for seen in sure:
             seen.given = max(0.0, middle - 1.0 / mean) if seen.given is None else seen.given
-            # What was measured counts against three answers at the mean: who is little heard of is near it,
-            # by its listed size where that is told.
-            heard, usual = seen.answers.read(now), middle * seen.upstream.size / size
-            costs.append((heard + 3.0) / (heard * known.get(seen, usual) + 3.0 * usual))
+            # What was measured counts against three answers at the mean: who is little heard of is near it.
+            heard = seen.answers.read(now)
+            costs.append((heard + 3.0) / (heard * known.get(seen, middle) + 3.0 * middle))
         return costs
 
     def make_room(self, seen: Seen) -> None:
@@ -468,47 +412,38 @@
         # Guards against pushing over a cold upstream: its part by age of a warm one's, and half more.
         return 1.5 * self.age(seen.upstream) * self.usual_sends
 
-    def draws(self) -> Iterator[Seen]:
-        """A few random draws by share: enough to pass by the few that are in doubt, full or not allowed."""
-        for _ in range(4 if self.drawn else 0):
-            point = self.random() * self.bounds[-1]
-            yield self.drawn[bisect_right(self.bounds, point, 0, len(self.drawn) - 1)]
-
     def find(self, task: Task) -> Seen | None:
         """The upstream for a task; None where nothing may be sent to."""
-        now, most = self.host.now, 2.0 * self.total / max(1, len(self.pool))
         # Guards against many that each round up to one: all parts bound what is out, at ease if not overdue.
-        out, parts, sound = 0, 0.0, Seen.DOUBT if self.crowded else 1.0
+        out, parts, sound = 0, 0.0, self.DOUBT if self.crowded else 1.0
         for seen in self.pool:
             if seen.silence <= sound:
                 out, parts = out + seen.out, parts + seen.part
-        best = next(iter(self.choice.entry.held))  # what adds most for its work is not kept out by the rest
-        if task.workload is best:
-            out = min(out, best.known.out)
+        if task.workload is next(iter(self.choice.entry.held)):
+            out = min(out, task.workload.known.out)  # what adds most for its work is not kept out by the rest
         if out >= max(1.0, parts) - 0.5 * self.crowded:
             return None
         # Trials rather go with tasks that may be repeated: they may meet what answers nothing.
         if self.owed >= (1.0 if task.workload.kind != EXCLUSIVE else 4.0) and not task.hand_offs:
             self.owed = 0.0
-            idle = [seen for seen in self.pool if seen.out == 0 and self.open_to(seen, task)
-                    and (seen.share == 0.0 or seen.doubted(now))]
-            if idle:
+            if idle := [seen for seen in self.pool if seen.out == 0 and self.open_to(seen, task)
+                        and (seen.share == 0.0 or self.doubted(seen))]:
                 return self.pick(idle)
-        fit = (seen for seen in self.draws() if not seen.doubted(now) and self.open_to(seen, task))
+        # Four random draws by share: enough to pass by the few that are in doubt, full or not allowed.
+        points = (self.random() * self.bounds[-1] for _ in range(4 if self.drawn else 0))
+        drawn = (self.drawn[bisect_right(self.bounds, at, 0, len(self.drawn) - 1)] for at in points)
+        fit = (seen for seen in drawn if not self.doubted(seen) and self.open_to(seen, task))
         found = next(fit, None)
-        if found is not None and found.out > most:
+        if found is not None and found.out > 2.0 * self.total / len(self.pool):
             found = next(fit, found)  # over twice the mean is out there: drawn once more
-        if found is not None:
-            return found
         left = (seen for seen in self.sure() if self.open_to(seen, task))
-        return min(left, key=lambda seen: seen.out, default=None)
+        return found or min(left, key=lambda seen: seen.out, default=None)
 
     def take(self, task: Task) -> str:
-        seen, now = self.find(task), self.host.now
-        if seen is None:
+        if (seen := self.find(task)) is None:
             return PASS  # nothing may be sent to: whoever called knows what is left to do
         hand_off = self.host.hand_off(task, seen.upstream)
-        seen.watch(now)
+        seen.watch(now := self.host.now)
         hand_off.pull = 1.0 / task.workload.known.usual  # the answers due of it in a nanosecond
         seen.pull += hand_off.pull
         seen.out, self.total, self.owed = seen.out + 1, self.total + 1, self.owed + self.TRIALS
@@ -519,13 +454,12 @@
         return KEEP
 
     def back(self, hand_off: HandOff, first: bool) -> None:
-        seen, now, outcome = hand_off.upstream.seen, self.host.now, hand_off.outcome
-        workload = hand_off.task.workload
-        seen.watch(now)
+        seen, workload, outcome = hand_off.upstream.seen, hand_off.task.workload, hand_off.outcome
+        seen.watch(now := self.host.now)
         seen.out, self.total, workload.known.out = seen.out - 1, self.total - 1, workload.known.out - 1
         seen.pull = seen.pull - hand_off.pull if seen.out else 0.0
         if outcome in (FULFILLED, ERROR, FULL):
-            seen.answered(now)
+            seen.silence, seen.heard = 0.0, now
         elif outcome == NO_CONNECTION:
             # Guards against one that is down before the list says so. A reset alone is no reason: of one that
             # died the next connection tells, which harms no task, and one that lives would get trials only.
@@ -544,6 +478,7 @@
                 # seems to have room: it gets none for as long as its latency now says.
                 seen.shut_until = now + int(workload.known.usual * seen.ratio(now))
         seen.answers.add(now)
+        seen.mute += 1
         self.make_room(seen)
 
 
@@ -563,8 +498,7 @@
     def configure(self, settings: dict[str, Any]) -> None:
         self.retry_after = bool(settings.get("limits.retry_after", True))  # whether clients are told a wait
         self.asks = settings.get("discovery") == "subscribe"
-        # Half of the time for which one that does not ask is forgiven.
-        self.ask_within = int(settings.get("rules.ask_within", 10 * SECOND)) // 2
+        self.ask_within = int(settings.get("rules.ask_within", 10 * SECOND)) // 2  # with time to spare
         self.ask_later()
 
     def ask_later(self) -> None:
@@ -597,10 +531,9 @@
         self.entry.release()
 
     def arrive(self, task: Task) -> None:
-        for asked in (self.split.arrived, self.again.tasks, task.workload.known.asked):
-            asked.add(self.host.now)
-        if self.split.probes:
-            self.split.probe()
+        self.split.came()
+        self.again.tasks.add(self.host.now)
+        task.workload.known.asked.add(self.host.now)
         if self.run(task, 0) == PASS:
             self.entry.hold(task)
 
@@ -613,13 +546,12 @@
 
     def came_back(self, hand_off: HandOff, load: dict[str, float] | None, first: bool) -> None:
         """A hand-off has its outcome; `first` if it ended the task. Late ones still count as measured."""
-        if load:
-            self.split.reported(hand_off.upstream.seen, load)
+        self.reported(hand_off.upstream, load)
         for stage in (self.split, self.again, self.entry):
             stage.back(hand_off, first)
 
-    def probed(self, upstream: Upstream, load: dict[str, float] | None) -> None:
-        """A probe has come back, with what the upstream says of its load."""
+    def reported(self, upstream: Upstream, load: dict[str, float] | None) -> None:
+        """What an upstream says of its load, with an answer or when probed."""
         if load and upstream.seen:
             self.split.reported(upstream.seen, load)
 
@@ -636,7 +568,6 @@
         self.again.call_off(task.hand_offs)
 
     def told(self, balancer: int, contents: bytes) -> None:
-        """Another balancer's message."""
         self.split.peers.hear(balancer, contents, self.split.balancers, self.host.now)
 
     def wake(self, at: int) -> None:
--- a/whinpier/lab/baselines.py
+++ b/whinpier/lab/baselines.py
@@ -12,8 +12,9 @@
 from itertools import accumulate
 from typing import TYPE_CHECKING, Any
 
-from whinpier.choice import Choice, Seen, Split
+from whinpier.choice import Choice, Split
 from whinpier.lab.clock import SECOND
+from whinpier.observed import Seen
 from whinpier.model import READY, Task
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/whinpier/observed.py
@@ -0,0 +1,45 @@
+"""What one balancer has observed of a workload and of an upstream. Measures; decides nothing."""
+
+from __future__ import annotations
+
+from whinpier.decay import SECOND, Sum
+from whinpier.model import Upstream, Workload
+
+WINDOW = 5 * SECOND  # over which sends to a cold upstream are bounded: one a second is a fine grain in it
+
+
+class Known:
+    """What this balancer has observed of one workload."""
+
+    def __init__(self, workload: Workload, now: int) -> None:
+        # 10 s: tells the work of one from the other's, whatever single upstreams do.
+        self.took, self.answers, self.asked, self.kept = (Sum(10 * SECOND, now) for _ in range(4))
+        self.out, self.usual = 0, workload.agreed_time / 4  # mean latency over the fleet; a start until known
+
+
+class Seen:
+    """What this balancer has observed of one upstream."""
+
+    def __init__(self, upstream: Upstream, now: int, span: int) -> None:
+        self.upstream = upstream
+        self.due, self.answers = Sum(span, now), Sum(span, now)
+        self.sends = upstream.sends or Sum(WINDOW, now)
+        self.out, self.pull, self.silence, self.missing, self.at, self.heard = 0, 0.0, 0.0, 0.0, now, now
+        self.share, self.part, self.room, self.shut_until = 0.0, 1.0, 1.0, 0
+        self.wide, self.told, self.held, self.probed, self.mute = 2.0, now, 0.0, 0, 0  # of its load reports
+        self.given: float | None = None  # its rate, smoothed as its latency is
+
+    def watch(self, now: int) -> None:
+        """Count how many answers were due since last looked at, had its hand-offs taken the usual time."""
+        if self.pull:
+            missing = self.pull * (now - self.at)
+            self.silence += missing
+            self.missing += missing
+        self.at = now
+
+    def ratio(self, now: int) -> float:
+        """Its latency over the fleet's: answers due, with what is still out by its age, over those come."""
+        self.watch(now)
+        self.due.add(now, self.missing)
+        self.missing = 0.0
+        return (self.due.value + 1.0) / (self.answers.read(now) + 1.0)
--- a/whinpier/runtime/life.py
+++ b/whinpier/runtime/life.py
@@ -18,7 +18,7 @@
 import anyio
 
 from whinpier import log
-from whinpier.choice import WINDOW
+from whinpier.observed import WINDOW
 from whinpier.decay import SECOND, Sum
 from whinpier.runtime.budget import Budget, Part, spare
 from whinpier.runtime.loop import MS, Loop
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -347,8 +347,7 @@
                     entry = replace(entry, started=self.house.since(entry.dial))
                 peer = self.house.peer(self, entry, hashed(entry.host.encode()))
                 peer.sends = self.house.shared(entry)
-            peer.state, peer.cell = entry.state, entry.cell
-            peer.size = entry.size if entry.size > 0.0 else 1.0  # nothing is no size
+            peer.state, peer.cell, peer.size = entry.state, entry.cell, entry.size
             peer.zone = self.place(self.spec.zones, entry.zone)
             peer.shape = self.place(self.spec.kinds, entry.shape)
             peer.moved(entry.dial)
