--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -21,6 +21,10 @@
         self.answers: dict[int, str] = {}
         self.withdrawn: list[HandOff] = []
         self.alarms: list[tuple[int, int]] = []
+        self.waits: list[int] = []  # that clients were told
+        self.told: list[bytes] = []
+        self.probed: list[Upstream] = []
+        self.asked: list[int] = []  # when the list was asked for
         self.tasks = 0
         group = settings.pop("group", "all")
         self.workload = Workload("any", kind, 800 * MS, 3000 * MS, 5.0, group=group, window=2 * SECOND)
@@ -42,6 +46,7 @@
         self.answers[task.id], task.ended = how, True
 
     def turn_back(self, task, wait=0):
+        self.waits.append(wait)
         self._answer(task, "turned back")
 
     def scrap(self, task):
@@ -54,7 +59,13 @@
         self.alarms.append((max(at, self.now + 1), token))
 
     def follow_list(self, on):
-        pass
+        self.asked.append(self.now)
+
+    def tell(self, balancer, contents):
+        self.told.append(contents)
+
+    def probe(self, upstream):
+        self.probed.append(upstream)
 
     def close_idle(self, upstream):
         pass
@@ -67,12 +78,12 @@
         self.choice.arrive(made)
         return made
 
-    def came_back(self, hand_off, outcome=FULFILLED):
+    def came_back(self, hand_off, outcome=FULFILLED, load=None):
         hand_off.outcome, hand_off.took = outcome, self.now - hand_off.sent
         first = outcome == FULFILLED and not hand_off.task.ended
         if first:
             self._answer(hand_off.task, "fulfilled")
-        self.choice.came_back(hand_off, None, first)
+        self.choice.came_back(hand_off, load, first)
 
     def out(self):
         return [hand_off for hand_off in self.sent if not hand_off.outcome]
@@ -87,7 +98,7 @@
             self.choice.bell(due[1])
         self.now = until
 
-    def traffic(self, span: int, every: int = 20 * MS, takes=lambda upstream: 50 * MS) -> None:
+    def traffic(self, span: int, every: int = 20 * MS, takes=lambda upstream: 50 * MS, load=None) -> None:
         """Steady tasks; each upstream answers after what `takes` says, or never where that is None."""
         until, next_task = self.now + span, self.now
         while self.now < until:
@@ -99,5 +110,5 @@
                 if hand_off.sent + 3000 * MS <= self.now:
                     self.came_back(hand_off, "timed out")
                 elif time is not None and hand_off.sent + time <= self.now:
-                    self.came_back(hand_off)
+                    self.came_back(hand_off, load=load)
             self.wait(5 * MS)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,10 +4,11 @@
 
 import pytest
 
-from tests.fake_host import MS, FakeHost
+from tests.fake_host import MS, SETTINGS, FakeHost
 from whinpier.choice import SECOND, level
 from whinpier.model import (DRAINING, ERROR, EXCLUSIVE, FULL, NO_CONNECTION, READY, RERUNNABLE, RESET,
                             TICKETED, TIMED_OUT, Upstream)
+from whinpier.peers import Peers
 
 
 @pytest.mark.parametrize("costs, rate, split", [
@@ -257,3 +258,114 @@
                 met.append(host.now)
                 host.came_back(hand_off, RESET)
     assert len(met) < 0.02 * 500  # of 50 tasks a second, where a sound one gets a quarter
+
+
+REPORTED = {"report.source": "inline", "report.columns": ["fulfilled_rate", "busy", "held"]}
+
+
+@pytest.mark.parametrize("busy, least, most", [(1.0, 1.5, 1.7), (0.2, 5.0, 6.0)])
+def test_room_follows_the_part_in_use_that_an_upstream_reports(busy, least, most):
+    """Room for six tasks at an upstream of one core had nearly a whole fleet choke within two seconds."""
+    host = FakeHost(count=3, balancers=2, **REPORTED)
+    host.traffic(5 * SECOND, load={"fulfilled_rate": 20.0, "busy": busy, "held": 3.0})
+    assert all(least <= upstream.seen.wide <= most for upstream in host.upstreams)
+
+
+def test_an_upstream_that_does_not_send_the_reports_it_promised_counts_as_one_that_gives_none():
+    host = FakeHost(count=3, **REPORTED)
+    host.traffic(5 * SECOND)
+    assert all(upstream.seen.wide == 6.0 for upstream in host.upstreams)
+
+
+@pytest.mark.parametrize("load", [{}, {"busy": 1e9}, {"held": 1e9}, {"fulfilled_rate": 1e9, "busy": 0.0}])
+def test_no_report_upsets_the_decisions(load):
+    host = FakeHost(count=3, **(REPORTED | {"report.source": "on_probe", "limits.probes": True}))
+    host.traffic(3 * SECOND, load=load)
+    host.choice.reported(Upstream(99, READY, 0, 0, 0), {"busy": 1.0})  # one that was never listed
+    host.choice.listed([])
+    host.wait(2 * SECOND)
+    assert "fulfilled" in host.answers.values()
+
+
+def test_probes_come_with_tasks_to_all_upstreams_in_turn_and_one_that_is_said_to_be_full_gets_nothing():
+    """What has timed out goes on running at an upstream: a balancer's own count of what is out is too low."""
+    host = FakeHost(count=3, **(REPORTED | {"report.source": "on_probe", "limits.probes": True}))
+    for _ in range(100):
+        host.task()
+        host.choice.reported(host.upstreams[0], {"held": 9.0, "busy": 1.0})
+        for hand_off in host.out():
+            host.came_back(hand_off)
+        host.wait(20 * MS)
+    assert len(host.probed) == 50 and set(host.probed) == set(host.upstreams)
+    assert not any(sent.upstream is host.upstreams[0] for sent in host.sent[1:])
+
+
+def test_a_balancer_with_little_of_all_traffic_keeps_to_few_upstreams_and_one_with_much_to_many():
+    def part(every):
+        host = FakeHost(count=60, balancers=60, **{"limits.peers": True})
+        for who in range(1, 60):
+            host.choice.told(who, Peers.pack(20.0))
+        host.traffic(3 * SECOND, every=every)
+        assert len(host.told) <= 3  # in a third of the seconds, as sixty speak
+        return len(host.choice.split.pool)
+
+    assert part(500 * MS) <= 3 and part(5 * MS) >= 30
+
+
+def test_in_its_first_second_a_balancer_does_not_say_that_it_has_no_traffic():
+    """Told rates of nothing had each of a bank take all room for its own."""
+    host = FakeHost(count=6, balancers=6, **{"limits.peers": True})
+    host.wait(900 * MS)
+    assert host.told == []
+    host.traffic(2 * SECOND)
+    assert host.told and all(len(contents) == 5 for contents in host.told)
+
+
+@pytest.mark.parametrize("who, contents", [
+    (1, b""), (1, b"\x02" + Peers.pack(1.0)[1:]), (1, Peers.pack(1.0) + b"more"), (9, Peers.pack(1.0)),
+    (1, Peers.pack(float("nan"))), (1, Peers.pack(-1.0)), (1, Peers.pack(float("inf"))), (1, b"x" * 256),
+])
+def test_a_message_that_cannot_be_read_is_counted_and_passed_over(who, contents):
+    host = FakeHost(count=3, balancers=4, **{"limits.peers": True})
+    host.choice.told(who, contents)
+    host.traffic(2 * SECOND)
+    assert host.choice.split.peers.told == {} and host.choice.split.peers.unread == 1
+
+
+def test_the_list_is_asked_for_at_times_spread_by_chance_and_later_after_each_call_in_vain():
+    first = []
+    for seed in range(20):
+        host = FakeHost(count=0, seed=seed, discovery="subscribe", **{"rules.ask_within": 10 * SECOND})
+        start = host.now
+        while len(host.asked) < 6:
+            host.wait(SECOND // 10)
+        first.append(host.asked[0] - start)
+        gaps = [after - before for before, after in zip(host.asked, host.asked[1:])]
+        assert max(gaps) <= 5 * SECOND and min(gaps[1:]) >= 2 * SECOND
+        host.choice.listed([Upstream(1, READY, 0, 0, 0)])
+        host.wait(20 * SECOND)
+        assert len(host.asked) == 6  # it has come: nothing more is asked
+        host.choice.list_lost()
+        host.wait(2 * SECOND)
+        assert len(host.asked) == 7
+    assert max(first) > SECOND and len(set(first)) == 20
+
+
+@pytest.mark.parametrize("told, wait", [(True, 200 * MS), (False, 0)])
+def test_a_turn_back_says_when_to_come_back_where_clients_are_told(told, wait):
+    host = FakeHost(count=0, **{"limits.retry_after": told})
+    host.task()
+    host.wait(SECOND)
+    assert host.waits == [wait]
+
+
+def test_after_a_switch_to_settings_without_second_copies_none_is_sent():
+    host = FakeHost(RERUNNABLE, 3)
+    host.traffic(3 * SECOND)
+    bad = host.upstreams[0]
+    host.traffic(300 * MS, takes=lambda upstream: None if upstream is bad else 50 * MS)
+    host.choice.change(SETTINGS | {"limits.second_copies": False}, [host.workload])
+    before = {task.id: len(task.hand_offs) for task in {sent.task for sent in host.out()}}
+    host.traffic(2 * SECOND, takes=lambda upstream: None if upstream is bad else 50 * MS)
+    assert before and all(len(sent.task.hand_offs) == before[sent.task.id]
+                          for sent in host.sent if sent.task.id in before)
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -7,6 +7,7 @@
 import pytest
 
 from whinpier.model import WireError
+from whinpier.peers import Peers
 from whinpier.simhost import wire
 from whinpier.simhost.__main__ import Process, main
 
@@ -76,3 +77,21 @@
 def test_what_is_absent_negative_or_no_number_is_not_reported():
     packed = struct.pack("<3f", float("nan"), -1.0, 4.0)
     assert wire.report(packed, 3, ["waiting", "service_ms", "scrapped_rate"]) == {"scrapped_rate": 4.0}
+
+
+def test_a_probes_findings_and_a_message_reach_the_decisions_and_odd_ones_do_no_harm():
+    settings = SETTINGS.replace("balancers=1", "balancers=4").replace("automatic", "subscribe") + (
+        "limits.peers=true\nlimits.probes=true\nreport.source=on_probe\nreport.columns=busy_reqs,cpu_share\n")
+    ready = struct.pack("<IIBIHQfHH", 2, 1, 1, 222, 0, 0, 1.0, 0, 0)
+    body = up(settings) + record(10, ready) + record(100, struct.pack("<IBII", 3, wire.SCOPE_CACHED, 1, 2))
+    for upstream, n in ((222, 2), (333, 2), (222, 0)):  # one that is not listed, one that says nothing
+        load = struct.pack(f"<{n}f", *(5.0, 1.0)[:n])
+        body += record(30, struct.pack("<IHIIB", 3, 0, 1400, upstream, n) + load)
+    for contents in (Peers.pack(30.0), b"hi"):
+        body += record(20, struct.pack("<IHH", 3, 2, len(contents)) + contents)
+    body += record(100, struct.pack("<IBII", 3, wire.SCOPE_FAILED, 0, 0))
+    process = Process()
+    process.batch(1, 9, 6_000_000_000, body)
+    choice = process.instances[3].choice
+    assert process.instances[3].known[222].seen.held == 5.0
+    assert [rate for _, rate in choice.split.peers.told.values()] == [30.0] and choice.split.peers.unread == 1
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -361,7 +361,7 @@
         took = answers = 0.0
         for workload in self.choice.workloads:
             known, answered = workload.known, workload.known.answers.read(now)
-            known.usual = known.took.read(now) / answered if answered > 0.5 else known.usual
+            known.usual = max(known.took.read(now) / answered, 1e3) if answered > 0.5 else known.usual
             answers, took = answers + answered, took + known.took.value
         mean = took / answers / SECOND if answers > 0.5 else 0.0
         # Against fifty answers, and after three seconds: the quickest come first, and a restarted balancer
