--- a/whinpier/lab/baselines.py
+++ b/whinpier/lab/baselines.py
@@ -48,14 +48,14 @@
 class RoundRobin(Plain):
     """One after the other."""
 
-    turn = 0
+    sent_last = 0
 
     def find(self, task: Task) -> Seen | None:
         allowed = self.allowed(task)
         if not allowed:
             return None
-        self.turn += 1
-        return allowed[self.turn % len(allowed)]
+        self.sent_last += 1
+        return allowed[self.sent_last % len(allowed)]
 
 
 class LeastOut(Plain):
--- a/whinpier/runtime/life.py
+++ b/whinpier/runtime/life.py
@@ -168,8 +168,10 @@
             # `known` is the list for a start; from then on discovery tells it.
             spec = replace(new.pools[name], known=before.pools[name].known, seq=before.pools[name].seq)
             if keys := differs(before.pools[name], spec):
+                old, now = before.pools[name].settings, spec.settings
+                keys += [key for key in sorted({*old, *now}) if old.get(key) != now.get(key)]
                 pool.change(spec)
-                log.say("settings_changed", keys=",".join(keys))
+                log.say("settings_changed", keys=",".join(key for key in keys if key != "settings"))
 
     def say_not_honoured(self) -> None:
         if self.spec.not_honoured:
