--- a/whinpier/observed.py
+++ b/whinpier/observed.py
@@ -26,7 +26,7 @@
         self.sends = upstream.sends or Sum(WINDOW, now)
         self.out, self.pull, self.silence, self.missing, self.at, self.heard = 0, 0.0, 0.0, 0.0, now, now
         self.share, self.part, self.room, self.shut_until = 0.0, 1.0, 1.0, 0
-        # Of its load reports. Room for two at first: that crowds not even a single core (1.5 to 3 were alike).
+        # Of its load reports. Room for two at first crowds not even a single core (2, 2.5 and 3 were alike).
         self.wide, self.told, self.held, self.probed, self.mute = 2.0, now, 0.0, 0, 0
         self.given: float | None = None  # its rate, smoothed as its latency is
 
