--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -436,8 +436,8 @@
         found = next(fit, None)
         if found is not None and found.out > 2.0 * self.total / len(self.pool):
             found = next(fit, found)  # over twice the mean is out there: drawn once more
-        left = (seen for seen in self.sure() if self.open_to(seen, task))
-        return found or min(left, key=lambda seen: seen.out, default=None)
+        return found or min((seen for seen in self.sure() if self.open_to(seen, task)),
+                            key=lambda seen: seen.out, default=None)
 
     def take(self, task: Task) -> str:
         if (seen := self.find(task)) is None:
