The count of probes has a name of its own; the lab's round robin is as it was

Cause: the module's new counter took the name of the baseline's turn, and the mend was made in the baseline, which was sound. Change: the module's is renamed, the baseline restored.

--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -231,7 +231,7 @@
         self.span, self.ease = 3 * SECOND, 0.0  # ease: the least mean latency of late, in seconds
         self.arrived, self.went = Sum(self.span, self.host.now), Sum(WINDOW, self.host.now)
         self.configure(settings)
-        self.peers, self.traffic, self.turn = Peers(), 1.0 / self.balancers, float(self.number)
+        self.peers, self.traffic, self.asking = Peers(), 1.0 / self.balancers, float(self.number)
         self.total, self.owed, self.usual_sends, self.sharing, self.crowded = 0, 0.0, 0.0, 1.0, False
 
     def configure(self, settings: dict[str, Any]) -> None:
@@ -291,9 +291,9 @@
     def came(self) -> None:
         """Count a task; as often as they come upstreams are asked for their load, in turn."""
         self.arrived.add(self.host.now)
-        self.turn += self.PROBES
-        if self.probes and self.turn % 1.0 < self.PROBES and self.pool:
-            self.host.probe(self.pool[int(self.turn) % len(self.pool)].upstream)
+        self.asking += self.PROBES
+        if self.probes and self.asking % 1.0 < self.PROBES and self.pool:
+            self.host.probe(self.pool[int(self.asking) % len(self.pool)].upstream)
 
     def reported(self, seen: Seen, load: dict[str, float]) -> None:
         """Take in what an upstream says of its load."""
--- a/whinpier/lab/baselines.py
+++ b/whinpier/lab/baselines.py
@@ -14,8 +14,8 @@
 
 from whinpier.choice import Choice, Split
 from whinpier.lab.clock import SECOND
-from whinpier.observed import Seen
 from whinpier.model import READY, Task
+from whinpier.observed import Seen
 
 if TYPE_CHECKING:
     from whinpier.lab.clock import Clock
@@ -48,14 +48,14 @@
 class RoundRobin(Plain):
     """One after the other."""
 
-    sent_last = 0
+    turn = 0
 
     def find(self, task: Task) -> Seen | None:
         allowed = self.allowed(task)
         if not allowed:
             return None
-        self.sent_last += 1
-        return allowed[self.sent_last % len(allowed)]
+        self.turn += 1
+        return allowed[self.turn % len(allowed)]
 
 
 class LeastOut(Plain):
