What waits for a restart is said in one place; the platform's reload keeps it as the operator's does

Cause: the change wrote two pieces again: the keys that wait for a restart, in platform.py as in operator.py, and keeping them, in Life.follow as in Life.as_run. Change: spec.kept_till_restart and as_run serve both.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -21,10 +21,11 @@
 from whinpier.decay import SECOND
 from whinpier import log
 from whinpier.net.clients import Asked
-from whinpier.config.platform import changes, read
+from whinpier.config.platform import read
 from whinpier.net.upstreams import Sending
 from whinpier.net.wire import Http1
 from whinpier.runtime.life import Life
+from whinpier.spec import kept_till_restart
 
 GIVEN = json.loads(Path("example/config.json").read_text())
 HEAD = "POST /charge HTTP/1.1\r\nHost: a\r\n"
@@ -529,7 +530,7 @@
 
 def life(spec):
     """A balancer that runs in the test itself."""
-    return Life(spec, Http1(), lambda: spec, changes)
+    return Life(spec, Http1(), lambda: spec, kept_till_restart)
 
 
 def held(life):
--- a/whinpier/__main__.py
+++ b/whinpier/__main__.py
@@ -13,10 +13,10 @@
 
 # From below upwards: imports that nest leave 0.7 MB more behind than those that do not (measured, of 27).
 from whinpier import log
-from whinpier.spec import Address, ConfigFault, Spec
+from whinpier.spec import Address, ConfigFault, Spec, kept_till_restart
 from whinpier.choice import Choice  # noqa: F401
 from whinpier.runtime.life import Life
-from whinpier.config.platform import changes, read
+from whinpier.config.platform import read
 from whinpier.net.wire import Http1
 
 BACKLOG = 1024
@@ -86,7 +86,7 @@
         # Only here: the platform sets no such file, and pays nothing for what reads it.
         from whinpier.config import operator
         return start(operator.reader(os.environ["BALANCER_OPERATOR"]), operator.changes)
-    return start(lambda: read(os.environ), changes)
+    return start(lambda: read(os.environ), kept_till_restart)
 
 
 if __name__ == "__main__":
--- a/whinpier/config/operator.py
+++ b/whinpier/config/operator.py
@@ -19,8 +19,8 @@
 from whinpier.files import contents
 from whinpier.routing.table import Route, RouteFault, Table
 from whinpier.runtime.budget import DOOR, MOST_DOOR, spare
-from whinpier.spec import (KEPT_TILL_RESTART, Beside, ConfigFault, Entry, Fields, Limits, PoolSpec, Spec,
-                           address, differs)
+from whinpier.spec import (Beside, ConfigFault, Entry, Fields, Limits, PoolSpec, Spec,
+                           address, differs, kept_till_restart)
 from whinpier.tables import UNITS, Amount, Count, Duration, Part, Strict, Whole, duration, named, part
 
 MOST_POOLS, MOST_ROUTES = 256, 20_000  # what is still checked within a second or two
@@ -94,8 +94,8 @@
     tenants: list[str] = []
     hand_offs: Annotated[int, Meta(ge=1, le=16)] = 3
     second_copies: bool = False
-    warm_keys: bool = False  # no longer there: said, not passed over
     cancelling: bool = True
+    warm_keys: bool = False  # no longer there: said, not passed over
     warm_up: Duration = "0s"
     cold_from: Annotated[float, Meta(gt=0.0, le=1.0)] = 1.0
     connect_timeout: Duration = "250ms"
@@ -360,8 +360,8 @@
 
 
 def changes(old: Spec, new: Spec) -> Iterable[str]:
-    """Which keys of the process differ and wait for a restart. A seed that is not given is no change."""
-    found = [key for key in KEPT_TILL_RESTART if key != "seed" and getattr(old, key) != getattr(new, key)]
+    """Which keys of the process, and of what runs beside HTTP, differ and wait for a restart."""
+    found = kept_till_restart(old, new)
     names = sorted(old.beside.keys() | new.beside.keys())
     for name in names:
         before, after = (spec.beside[name].till_restart if name in spec.beside else {} for spec in (old, new))
--- a/whinpier/config/platform.py
+++ b/whinpier/config/platform.py
@@ -15,9 +15,7 @@
 from whinpier import settings as common
 from whinpier.files import contents
 from whinpier.model import WireError, Workload
-from whinpier.spec import (KEPT_TILL_RESTART, PLATFORM, ConfigFault, PoolSpec, Spec, address,
-                           entries)
-
+from whinpier.spec import PLATFORM, ConfigFault, PoolSpec, Spec, address, entries
 
 CHOICES = {
     "discovery": ("automatic", "subscribe"), "report.source": ("off", "inline", "on_probe"),
@@ -157,8 +155,3 @@
                        "limits.memory_mb", int, 192, 16) << 20,
         pools={PLATFORM: pool}, not_honoured=refused,
     )
-
-
-def changes(old: Spec, new: Spec) -> list[str]:
-    """Which keys wait for a restart. The seed and the list of `known` are for a start only."""
-    return [key for key in KEPT_TILL_RESTART if key != "seed" and getattr(old, key) != getattr(new, key)]
--- a/whinpier/runtime/life.py
+++ b/whinpier/runtime/life.py
@@ -18,8 +18,8 @@
 import anyio
 
 from whinpier import log
-from whinpier.observed import WINDOW
 from whinpier.decay import SECOND, Sum
+from whinpier.observed import WINDOW
 from whinpier.runtime.budget import Budget, Part, spare
 from whinpier.runtime.loop import MS, Loop
 from whinpier.runtime.pool import Peer, Pool, Taken, Watch
@@ -161,8 +161,7 @@
 
     def follow(self, new: Spec) -> None:
         """The platform's way: its one pool goes on by the new settings, in one step between two events."""
-        kept = {key: getattr(self.spec, key) for key in KEPT_TILL_RESTART}
-        before, self.spec = self.spec, replace(new, **kept)
+        before, self.spec = self.spec, self.as_run(new)
         self.say_not_honoured()
         for name, pool in self.pools.items():
             # `known` is the list for a start; from then on discovery tells it.
--- a/whinpier/spec.py
+++ b/whinpier/spec.py
@@ -90,6 +90,11 @@
     server: object = None  # how its servers are spoken to, where its protocol has more to say
 
 
+def kept_till_restart(old: Spec, new: Spec) -> list[str]:
+    """Which keys of the process differ and wait for a restart. A seed that is not given is no change."""
+    return [key for key in KEPT_TILL_RESTART if key != "seed" and getattr(old, key) != getattr(new, key)]
+
+
 def differs(old: PoolSpec, new: PoolSpec) -> list[str]:
     """Which keys of a pool differ; workloads by what is configured of them, not by what is known."""
     found = [key.name for key in fields(PoolSpec) if key.name != "workloads"
