The bank: processes know who is there, lost or only unheard, and count each other

Change: whinpier/bank, a state machine after SWIM with suspicion that can be refuted, care for one's own slowness, exchange of views where digests differ, evidence of death held apart from silence; its datagrams under a keyed tag, a link that feeds pools (balancers, number, rates told), a control socket, `whinpier bank`. Beside it a stand-in network between real processes, schedules of faults as data, a referee, the same machine on simulated time. Off without a table `bank`.

--- /dev/null
+++ b/tests/test_bank.py
@@ -0,0 +1,335 @@
+"""Stories of the bank in simulated time: forms, members, counts, the referee, schedules of faults."""
+
+from random import Random
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from whinpier.bank import forms
+from whinpier.bank.counting import Counting
+from whinpier.bank.forms import Card, Datagram, Seal, Unread, Word
+from whinpier.bank.members import BURST, KNOCKS, MOST_PROBES, SECOND, Members, Times
+from whinpier.lab.bank import KEY, POOL, Bank
+from whinpier.lab.bankmutations import MUTATIONS, caught, spoilt
+from whinpier.standin import faults
+from whinpier.standin.faults import Fault, Schedule
+from whinpier.standin.referee import Bounds, Fact, Referee, Said
+
+HALVES = (tuple(range(6)), tuple(range(6, 12)))
+ids, small, short = st.integers(0, 2**64 - 1), st.integers(0, 2**32 - 1), st.text(max_size=20)
+words = st.builds(Word, ids, small, st.integers(0, 5), st.integers(0, 4), ids)
+cards = st.builds(Card, st.text(min_size=1, max_size=20), ids, small, st.just("127.0.0.1"),
+                  st.integers(1, 65535), short, short, short, st.lists(small, max_size=4).map(tuple))
+datagrams = st.builds(Datagram, st.integers(0, 5), ids, st.integers(0, 2**63 - 1), ids, ids, ids,
+                      st.lists(words, max_size=8), st.lists(cards, max_size=2),
+                      st.lists(st.tuples(small, st.binary(max_size=64)), max_size=3),
+                      st.lists(ids, max_size=5))
+
+
+def card(name="a", run=1, port=7001, **more):
+    return Card(name, run, 1, "127.0.0.1", port, pools=(POOL,), **more)
+
+
+def members(name="a", port=7001, seeds=(), now=0, **more):
+    return Members(card(name, 1, port), seeds, KEY, Times(), Random(f"{name}/{now}"), now, **more)
+
+
+def play(*events, count=12, seconds=24.0, **more):
+    found = Bank(Schedule(count, seconds, events, **more), bounds=Bounds())
+    return found, found.play()
+
+
+def pass_on(*those, now):
+    """Carry what each has to send to whom it is for, until all is quiet."""
+    for _ in range(50):
+        sent = [(one.card.address, *datagram) for one in those for datagram in one.take()[0]]
+        if not sent:
+            return
+        for source, address, data in sent:
+            for one in those:
+                if one.card.address == address:
+                    one.receive(data, source, now)
+
+
+# Forms.
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(datagrams, st.integers(0, 10**6))
+def test_a_datagram_is_read_as_it_was_written_and_not_when_a_bit_is_turned(datagram, at):
+    data = KEY.seal(datagram)
+    assert KEY.open(data) == datagram
+    at %= len(data)
+    with pytest.raises(Unread):
+        KEY.open(data[:at] + bytes((data[at] ^ 1 << at % 8,)) + data[at + 1:])
+    with pytest.raises(Unread):
+        KEY.open(data[:at])
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.binary(max_size=300), st.booleans(), st.integers(0, 255))
+def test_no_bytes_do_more_than_be_counted(noise, sealed, form):
+    """Also bytes that are proved to come from the bank: a later build's, or a faulty one's."""
+    one = members()
+    if sealed:
+        noise = forms.MAGIC + bytes((form,)) + noise
+        noise += Seal.tag(noise, KEY.keys[0])
+    one.receive(noise, ("127.0.0.1", 9), 1)
+    assert not one.members and sum(count for name, count in one.counts.items() if "unread" in name) == 1
+    if sealed and form != forms.FORM:
+        assert one.counts["unread_later_form"] == 1
+
+
+def test_the_largest_of_everything_fits_into_a_datagram_and_one_more_byte_is_refused():
+    one = members()
+    large = card("n" * 63, 2**63, 7002, build="b" * 63, zone="z" * 63, revision="r" * 63)
+    large = msgspec.structs.replace(large, pools=tuple(2**32 - 1 - n for n in range(forms.MOST_POOLS)))
+    one.card = large
+    for number in range(500):
+        one.spread(Word(2**64 - 1 - number, 2**32 - 1, 2, 1, 2**64 - 1))
+    for number in range(forms.MOST_POOLS + 1):
+        one.carry(number, bytes(forms.MOST_CONTENTS))
+    for kind in range(6):
+        one.send(kind, ("127.0.0.1", 1), None, 2**63, 2**63)
+    sizes = [len(data) for _, data in one.take()[0]]
+    assert len(one.says) == forms.MOST_POOLS and max(sizes) <= forms.LARGEST and max(sizes) > 1_100
+    with pytest.raises(ValueError):
+        KEY.seal(Datagram(0, 1, 1, ids=[2**63] * 140))
+
+
+def test_two_keys_hold_while_they_are_changed():
+    old, new = b"o" * 32, b"n" * 32
+    data = Seal((old,)).seal(Datagram(0, 1, 1))
+    assert Seal((new, old)).open(data).sender == 1
+    with pytest.raises(Unread, match="unproved"):
+        Seal((new,)).open(data)
+
+
+# Members.
+
+
+def test_a_killed_member_is_lost_by_all_within_three_seconds_by_evidence():
+    bank, found = play(Fault(10.0, "kill", (5, 6)))
+    assert found["breaches"] == [] and found["checked"]["dead"] == 20 and found["slowest"]["dead"] < 1.5
+    lost = [said for said in bank.said if said.event == "member_lost"]
+    assert {said.pairs["why"] for said in lost} == {"refused"}
+    assert {node.members.position for node in bank.nodes.values() if node.alive} == {"whole"}
+
+
+def test_one_whose_machine_is_gone_is_lost_as_fast_but_reckoned_with():
+    bank, found = play(Fault(10.0, "vanish", (5,)))
+    assert found["breaches"] == [] and 1.0 < found["slowest"]["dead"] < 3.0
+    for node in (node for node in bank.nodes.values() if node.alive):
+        assert node.members.position == "larger" and len(node.members.shares(POOL)) == 12
+
+
+def test_a_pause_of_a_second_is_no_loss_and_the_one_who_stood_still_accuses_nobody():
+    bank, found = play(Fault(10.0, "stop", (5, 6), span=1.0))
+    assert found["breaches"] == [] and bank.counts["member_suspect"] and not bank.counts["member_lost"]
+    bank, found = play(Fault(10.0, "stop", (5,), span=60.0), seconds=80.0)
+    assert found["breaches"] == [] and bank.counts["member_lost"] == 11  # it is lost, and loses nobody
+
+
+THIRDS = ((0, 1, 2, 3), (4, 5, 6), (7, 8, 9, 10, 11))
+
+
+@pytest.mark.parametrize("parts", [HALVES, ((0,), tuple(range(1, 12))), THIRDS])
+def test_parts_know_their_own_position_and_are_one_again_after_it(parts):
+    bank, found = play(Fault(8.0, "cut", parts=parts, span=8.0))
+    assert found["breaches"] == [] and found["checked"]["position"] >= 24
+
+
+def test_three_parts_of_which_two_meet_first():
+    bank, found = play(Fault(8.0, "cut", parts=((0, 1, 2, 3), (4, 5, 6, 7), (8, 9, 10, 11)), span=6.0),
+                       Fault(8.0, "cut", parts=((0, 1, 2, 3, 4, 5, 6, 7), (8, 9, 10, 11)), span=12.0),
+                       seconds=30.0)
+    assert found["breaches"] == [] and found["checked"]["position"] >= 36
+
+
+def test_a_tenth_of_all_datagrams_lost_loses_nobody():
+    bank, found = play(Fault(5.0, "lossy", span=60.0, amount=0.1), seconds=70.0)
+    assert bank.counts["member_suspect"] > 20 and not bank.counts["member_lost"] and found["breaches"] == []
+
+
+def test_a_way_that_works_in_one_direction_only_loses_nobody():
+    bank, _ = play(Fault(8.0, "one_way", (1,), (2,), span=10.0))
+    assert not bank.counts["member_lost"]
+    bank, found = play(Fault(8.0, "one_way", (1,), (0,), span=8.0), count=2, seconds=30.0)
+    assert bank.counts["member_lost"] and found["breaches"] == []  # two have nobody to ask
+
+
+def test_two_processes_of_one_name_both_count_and_a_moved_one_counts_once():
+    bank, _ = play(Fault(8.0, "twin", (7,)))
+    assert all(len(node.members.shares(POOL)) == 13 for node in bank.nodes.values())
+    bank, found = play(Fault(8.0, "move", (7,), span=0.5))
+    assert found["breaches"] == []
+    assert all(len(node.members.shares(POOL)) == 12 for node in bank.nodes.values())
+
+
+def test_all_die_at_once_and_come_back_while_the_seeds_are_down():
+    bank, found = play(Fault(6.0, "restart", tuple(range(3, 12)), span=2.0),
+                       Fault(6.0, "restart", (0, 1, 2), span=9.0), seconds=30.0)
+    assert found["breaches"] == [] and bank.counts["bank_joined"] == 24
+
+
+def test_a_bank_that_doubles_at_once_and_a_seed_that_dies_for_good():
+    bank, found = play(Fault(6.0, "join", tuple(range(6, 12))), Fault(10.0, "kill", (0,)), seeds=1)
+    assert found["breaches"] == []
+
+
+def test_what_is_said_in_order_is_a_leaving_not_a_loss():
+    bank, found = play(Fault(8.0, "leave", (5,)), Fault(8.0, "leave", (6,)))
+    assert found["breaches"] == [] and bank.counts["member_left"] >= 20
+    assert not bank.counts["member_lost"]
+
+
+def test_old_datagrams_bring_nobody_back():
+    """All that a member ever sent, sent again when it is gone, from its own address."""
+    a, b = members("a", 7001), members("b", 7002, [("127.0.0.1", 7001)])
+    sent = []
+    for now in range(0, 3 * SECOND, SECOND // 20):
+        for one, other in ((a, b), (b, a)):
+            one.tick(now)
+            for _, data in one.take()[0]:
+                sent += [data] * (one is b)
+                other.receive(data, one.card.address, now)
+    assert a.count() == b.count() == 2
+    high = next(iter(a.members.values())).high
+    for data in sent:
+        a.receive(data, b.card.address, now)
+    assert a.counts["unread_again"] >= len(sent) - 5 and next(iter(a.members.values())).high == high
+    restarted = members("a", 7001, now=now)  # knows nobody, and gets an answer from nobody
+    for data in sent:
+        restarted.receive(data, b.card.address, now + 1)
+    assert not restarted.members and len(restarted.take()[0]) <= 2 * KNOCKS
+
+
+def test_every_table_is_bounded_and_was_full():
+    one = members(most=3)
+    for number in range(6):
+        other = members(f"x{number}", 7100 + number, [one.card.address], now=SECOND)
+        other.tick(SECOND)
+        pass_on(one, other, now=SECOND)
+    assert len(one.members) == 3 and one.counts["table_full"]
+    for number in range(2 * MOST_PROBES):
+        one.ping(("127.0.0.1", 9), None)
+    assert len(one.probes) == MOST_PROBES and one.counts["probes_full"]
+    one.take()
+    for number in range(4_000):
+        one.send(forms.ACK, ("127.0.0.1", 9), None)
+    assert BURST < sum(len(data) for _, data in one.take()[0]) <= 2 * BURST + 1_200 and one.counts["not_sent"]
+    for number in range(5_000):
+        one.bury(Word(number, 0, forms.LEFT))
+    assert len(one.tombs) == 4_096
+
+
+def test_a_member_that_is_called_gone_for_good_goes_on_as_another_run():
+    a, b = members("a", 7001), members("b", 7002, [("127.0.0.1", 7001)])
+    a.tick(0), b.tick(0)
+    pass_on(a, b, now=0)
+    before = b.card.id
+    a.replaced(a.members[before])
+    a.send(forms.PING, b.card.address, None, words=[Word(before, 0, forms.REPLACED)])
+    for now in range(0, SECOND, SECOND // 10):
+        a.tick(now), b.tick(now)
+        pass_on(a, b, now=now)
+    assert b.card.id != before and b.card.id in a.members and a.count() == b.count() == 2
+
+
+# What pools are told.
+
+
+def test_the_count_rises_at_once_and_falls_late_and_is_never_below_what_the_file_lets_expect():
+    seeds = [("127.0.0.1", 7001 + number) for number in range(4)]
+    one = members("a", 7001, seeds)
+    counting = Counting(one, ("all",))
+    assert [(told.balancers, told.number) for told in counting.update(0)] == [(4, 0)]
+    for now in range(0, 3 * SECOND, SECOND // 10):
+        one.tick(now)
+    assert not counting.update(now) and one.position == "alone"  # silent seeds may be there
+    for seed in seeds[1:]:
+        one.refused(seed, now)
+    assert not counting.update(now)  # fewer: not before it lasts
+    assert [told.balancers for told in counting.update(now + 2 * SECOND)] == [1]
+    assert one.where() == "whole"
+    other = members("b", 7002, [one.card.address])
+    other.tick(now)
+    pass_on(one, other, now=now + 2 * SECOND)
+    assert [told.balancers for told in counting.update(now + 2 * SECOND + 1)] == [2]
+
+
+@settings(max_examples=50, deadline=None, derandomize=True)
+@given(st.lists(st.text("abcdefgh", min_size=1, max_size=6), min_size=3, max_size=40, unique=True))
+def test_one_more_moves_each_others_start_by_no_more_than_its_own_width(names):
+    def starts(those):
+        ranked = sorted(those, key=lambda name: forms.member_id(name, 0))
+        return {name: place / len(ranked) for place, name in enumerate(ranked)}
+
+    before, after = starts(names[1:]), starts(names)
+    assert all(abs(before[name] - after[name]) <= 1.0 / len(before) for name in before)
+
+
+# Faults, and the referee.
+
+
+def test_a_schedule_is_data_drawn_alike_from_one_seed_and_refused_with_its_key():
+    drawn = faults.draw(7, 12, 45.0)
+    assert drawn == faults.draw(7, 12, 45.0) == faults.read(faults.text(drawn)) != faults.draw(8, 12, 45.0)
+    with pytest.raises(msgspec.ValidationError, match="faults"):
+        faults.read('{"members": 3, "seconds": 5, "faults": [{"at": 1, "kind": "gone"}]}')
+
+
+def test_a_failing_schedule_is_shortened_to_what_still_fails():
+    whole = Schedule(12, 20.0, (Fault(5.0, "lossy", span=2.0, amount=0.1), Fault(6.0, "kill", (4, 5, 6, 7)),
+                                Fault(7.0, "late", span=1.0, amount=0.1), Fault(8.0, "leave", (9,))))
+    least, tried = faults.shrink(whole, lambda one: any(fault.kind == "kill" for fault in one.faults))
+    assert [(fault.kind, fault.who) for fault in least.faults] == [("kill", (4,))] and least.members == 5
+
+
+def history(*moments):
+    """Two members that know each other from the start, and what else happens."""
+    a, b = ("a", "1"), ("b", "2")
+    facts = [Fact(0.0, "started", a), Fact(0.0, "started", b)]
+    said = [Said(0.1, a, "member_here", {"member": "b", "run": "2"}),
+            Said(0.1, b, "member_here", {"member": "a", "run": "1"}),
+            Said(0.1, a, "bank_position", {"position": "whole"}),
+            Said(0.1, b, "bank_position", {"position": "whole"})]
+    facts += [one for one in moments if isinstance(one, Fact)]
+    said += [one for one in moments if isinstance(one, Said)]
+    return sorted({breach.rule for breach in Referee(facts, said, 30.0, Bounds()).judge()})
+
+
+def test_the_referee_finds_each_property_that_breaks_and_nothing_else():
+    a, b, of_b = ("a", "1"), ("b", "2"), {"member": "b", "run": "2", "by": "a"}
+    apart = (frozenset({"a"}), frozenset({"b"}))
+    alone = [Said(10.5, who, "bank_position", {"position": "alone"}) for who in (a, b)]
+    assert history() == []
+    assert history(Fact(10.0, "dead", b), Said(11.0, a, "member_lost", of_b)) == []
+    assert history(Fact(10.0, "dead", b), Said(14.0, a, "member_lost", of_b)) == ["agree", "dead"]
+    assert history(Fact(10.0, "dead", b)) == ["agree", "dead"]
+    assert history(Said(10.0, a, "member_lost", of_b)) == ["false"]
+    assert history(Fact(10.0, "stopped", b), Said(12.0, a, "member_lost", of_b)) == []
+    assert history(Fact(10.0, "ways", parts=apart), *alone) == []
+    assert history(Fact(10.0, "ways", parts=apart)) == ["position"]
+    assert history(Fact(10.0, "ways", parts=apart), *alone, Fact(16.0, "ways"),
+                   Said(15.0, a, "member_lost", of_b), Said(16.5, a, "bank_position", {"position": "whole"}),
+                   Said(16.5, b, "bank_position", {"position": "whole"})) == ["agree"]
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_drawn_faults_break_nothing(seed):
+    assert Bank(faults.draw(seed, 9, 40.0, 5)).play()["breaches"] == []
+
+
+@pytest.mark.parametrize("name", sorted(MUTATIONS))
+def test_each_fault_of_the_code_that_was_put_back_is_caught(name):
+    assert caught(name) is not None, MUTATIONS[name].__doc__
+
+
+def test_what_a_mutation_spoils_is_sound_again_after_it():
+    before = Members.judge
+    with spoilt("never_loses"):
+        assert Members.judge is not before
+    assert Members.judge is before
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -8,7 +8,7 @@
     ("choice",),
     ("runtime",),
     ("net", "simhost"),
-    ("radius",),
+    ("radius", "bank"),
     ("config",),
     ("__main__",),
     ("standin", "lab", "cli"),
--- a/whinpier/__main__.py
+++ b/whinpier/__main__.py
@@ -74,6 +74,13 @@
         except ConfigFault as fault:
             log.warn("configuration_fault", fault=fault)
             return 2
+        if spec.bank:
+            from whinpier.bank import start as bank  # only where a file has it
+            try:
+                life.bank = bank.start(life, datagrams)
+            except OSError as fault:
+                log.warn("cannot_listen", address="bank.listen", fault=fault)
+                return 1
         anyio.run(run, streams, life)
     finally:
         for sock in (*streams, *datagrams, *further):
--- /dev/null
+++ b/whinpier/bank/control.py
@@ -0,0 +1,190 @@
+"""Owns the control socket: what the process knows of the bank can be asked while it serves.
+
+One JSON object a line each way, with the id that the caller gave. Must never let a caller hold the process: a
+line is bounded, so is what waits to be read, and each write has a deadline.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+import stat
+from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import suppress
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import anyio.abc
+import msgspec
+from msgspec import Struct
+
+from whinpier import log
+from whinpier.bank.members import UNHEARD
+from whinpier.bank.spec import CALLERS
+
+if TYPE_CHECKING:
+    from whinpier.bank.link import Link
+
+LINE = 4_096  # bytes of what is asked
+WAITING = 1_000  # events that wait for a watcher; then it is told how many it missed
+PATIENCE = 5.0  # seconds for a caller to take what it asked for, or to ask
+IDLE = 60.0
+
+
+class Asked(Struct, forbid_unknown_fields=True):
+    """One request."""
+
+    ask: str
+    id: int | str = 0
+    name: str = ""
+
+
+class Refused(Exception):
+    """What is asked can't be done; the text says why."""
+
+
+def prepare(path: str) -> None:
+    """Take away the socket of a process that is gone. Raises OSError where one is still there."""
+    try:
+        mode = os.stat(path).st_mode
+    except FileNotFoundError:
+        return
+    if not stat.S_ISSOCK(mode):
+        raise OSError(f"{path} is there and is no socket")
+    with socket.socket(socket.AF_UNIX) as probe:
+        probe.settimeout(1.0)
+        try:
+            probe.connect(path)
+        except ConnectionRefusedError:
+            os.unlink(path)
+            return
+    raise OSError(f"{path} is another process's")
+
+
+class Control:
+    """The control socket of one process."""
+
+    def __init__(self, link: Link) -> None:
+        self.link, self.path = link, link.spec.control
+        self.callers = 0
+
+    async def run(self) -> None:
+        """Serve until the process ends. What can't be had is said, and the process goes on without it."""
+        try:
+            prepare(self.path)
+            listener = await anyio.create_unix_listener(self.path, mode=0o600)
+        except OSError as fault:
+            log.warn("bank_control_fault", path=self.path, fault=fault)
+            return
+        try:
+            async with listener:
+                await listener.serve(self.serve)
+        finally:
+            with suppress(OSError):
+                os.unlink(self.path)
+
+    async def serve(self, stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            if self.callers >= CALLERS:
+                log.note("bank_control_full", callers=self.callers)
+                return
+            self.callers += 1
+            try:
+                async for line in lines(stream):
+                    if not await self.answer(line, stream):
+                        return
+            except (OSError, TimeoutError, anyio.BrokenResourceError, anyio.ClosedResourceError,
+                    anyio.EndOfStream):
+                return  # a caller that goes, or does not read, is its own trouble
+            finally:
+                self.callers -= 1
+
+    async def answer(self, line: bytes, stream: anyio.abc.SocketStream) -> bool:
+        """Answer one line; whether the caller may ask more."""
+        asked: Asked | None = None
+        try:
+            asked = msgspec.json.decode(line, type=Asked)
+            if asked.ask == "watch":
+                await self.watch(asked, stream)
+                return False
+            whole: dict[str, Any] = {"id": asked.id, "ok": True, "result": self.found(asked)}
+        except (msgspec.DecodeError, ValueError, RecursionError, Refused) as fault:
+            whole = {"id": asked.id if asked else 0, "ok": False, "fault": str(fault)}
+        await say(stream, whole)
+        return True
+
+    def found(self, asked: Asked) -> Any:
+        link = self.link
+        members = link.members
+        members.enter(link.loop.clock())
+        if asked.ask == "members":
+            return {"self": link.spec.name, "position": members.position, "here": members.count(),
+                    "unheard": members.tally[UNHEARD], "shares": {
+                        name: {"balancers": one.balancers, "number": one.number}
+                        for name, one in link.counting.pools.items()},
+                    "members": list(members.rows())}
+        if asked.ask == "links":
+            return [{"to": row["name"], "state": row["state"], "way": row["way"], "heard_ms": row["heard_ms"],
+                     "address": row["address"], "disputed_by": row["disputed_by"]}
+                    for row in list(members.rows())[1:]]
+        if asked.ask == "figures":
+            return link.figures()
+        if asked.ask == "strike":
+            struck = members.strike(asked.name, link.loop.clock())
+            link.pass_on()
+            if not struck:
+                raise Refused(f"no member {asked.name!r} is lost by silence alone")
+            log.say("bank_struck", member=asked.name)
+            return {"struck": struck}
+        raise Refused(f"{asked.ask!r} is none of members, links, figures, watch, strike")
+
+    async def watch(self, asked: Asked, stream: anyio.abc.SocketStream) -> None:
+        """Tell events as they come; one that reads too slowly is told how many it missed."""
+        queue: deque[dict[str, Any]] = deque()
+        came, missed = anyio.Event(), 0
+
+        def heard(event: dict[str, Any]) -> None:
+            nonlocal missed
+            if len(queue) >= WAITING:
+                missed += 1
+            else:
+                queue.append(event)
+                came.set()
+
+        self.link.watchers.append(heard)
+        try:
+            await say(stream, {"id": asked.id, "ok": True, "result": {"watching": self.link.spec.name}})
+            while True:
+                while queue:
+                    await say(stream, {"id": asked.id, "event": queue.popleft()})
+                if missed:
+                    lost, missed = missed, 0
+                    await say(stream, {"id": asked.id, "missed": lost})
+                came = anyio.Event()
+                with anyio.move_on_after(IDLE):
+                    await came.wait()
+                    continue
+                await say(stream, {"id": asked.id})  # so that one that has gone is noticed
+        finally:
+            self.link.watchers.remove(heard)
+
+
+async def lines(stream: anyio.abc.SocketStream) -> AsyncIterator[bytes]:
+    """Lines of a caller; one that is too long, or says nothing for long, ends it."""
+    data = b""
+    while True:
+        while (end := data.find(b"\n")) >= 0:
+            line, data = data[:end], data[end + 1:]
+            if line.strip():
+                yield line
+        if len(data) > LINE:
+            await say(stream, {"id": 0, "ok": False, "fault": f"a line of over {LINE} bytes"})
+            return
+        with anyio.fail_after(IDLE):
+            data += await stream.receive(LINE)
+
+
+async def say(stream: anyio.abc.SocketStream, whole: dict[str, Any]) -> None:
+    with anyio.fail_after(PATIENCE):
+        await stream.send(msgspec.json.encode(whole) + b"\n")
--- /dev/null
+++ b/whinpier/bank/forms.py
@@ -0,0 +1,160 @@
+"""Each datagram of the bank with its form: packed, sealed by the bank's key, opened, bounded.
+
+A datagram is `MAGIC`, one byte of form, a MessagePack body and a keyed BLAKE2b tag over all before it. Must
+never read a body whose tag does not prove that it comes from the bank, make a datagram of more than `LARGEST`
+bytes, or raise anything but `Unread` for what came in.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections.abc import Callable
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+MAGIC, FORM = b"wB", 1
+HEAD, TAG = 3, 16  # bytes
+LARGEST = 1_200  # bytes: passes every network without being cut in pieces
+KEY_LEAST, KEY_MOST = 16, 64  # bytes of a key: what BLAKE2b takes, and what can't be guessed
+
+# What a datagram is.
+PING, ACK, ASK, STANDS, EXCHANGE, WANT = range(6)
+# What is believed of a member; the order in which one word of the same life outdoes another.
+HERE, LEAVING, SUSPECT, LOST, LEFT, REPLACED = range(6)
+STATES = ("here", "leaving", "suspect", "lost", "left", "replaced")
+# On what evidence.
+SAID, SILENT, REFUSED, RENAMED, STRUCK = range(5)
+WHY = ("said", "silent", "refused", "renamed", "struck")
+
+Id = Annotated[int, Meta(ge=0)]  # MessagePack holds no more than eight bytes
+Small = Annotated[int, Meta(ge=0, lt=2**32)]
+Name = Annotated[str, Meta(min_length=1, max_length=63)]
+Short = Annotated[str, Meta(max_length=63)]
+MOST_POOLS = 64  # of a member: with its card they still fit into one datagram
+MOST_WORDS, MOST_CARDS, MOST_SAID, MOST_IDS = 60, 16, 16, 100  # what fits into a datagram, and a little more
+MOST_CONTENTS = 64  # bytes that a pool's decisions may tell at once
+
+
+class Unread(Exception):
+    """A datagram that is not taken; `reason` is one of a few words, for a counter."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class Card(Struct, frozen=True, array_like=True):
+    """Who a member is; a later `version` of the same run takes the place of an earlier one."""
+
+    name: Name
+    run: Id  # drawn at its start: a restart is somebody else
+    version: Small
+    host: Annotated[str, Meta(min_length=7, max_length=15)]  # where the others reach it
+    port: Annotated[int, Meta(ge=1, lt=65536)]
+    build: Short = ""
+    zone: Short = ""
+    revision: Short = ""  # of its operator's file
+    pools: Annotated[tuple[Small, ...], Meta(max_length=MOST_POOLS)] = ()  # that it shares, by `pool_mark`
+
+    @property
+    def id(self) -> int:
+        return member_id(self.name, self.run)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.host, self.port
+
+
+class Word(Struct, frozen=True, array_like=True):
+    """What is believed of one member, and by whose word."""
+
+    id: Id
+    life: Small  # raised by the member itself, to refute what is said of it
+    state: Annotated[int, Meta(ge=HERE, le=REPLACED)]
+    why: Annotated[int, Meta(ge=SAID, le=STRUCK)] = SAID
+    by: Id = 0
+
+    @property
+    def rank(self) -> tuple[int, int, int, int]:
+        """Of two words on one member the one of the higher rank holds; what is final outdoes any life."""
+        final = self.state >= LEFT
+        return final, 0 if final else self.life, self.state, self.why
+
+
+class Datagram(Struct, array_like=True):
+    """One message from one member to another."""
+
+    kind: Annotated[int, Meta(ge=PING, le=WANT)]
+    sender: Id
+    count: Annotated[int, Meta(ge=0, le=2**63 - 1)]  # of the sender's datagrams, in the order sent
+    nonce: Id = 0  # of a ping, and of what answers it
+    target: Id = 0  # whom a ping is meant for (0: whoever is there), whom to ask after
+    digest: Id = 0  # of the sender's whole view
+    words: Annotated[list[Word], Meta(max_length=MOST_WORDS)] = []
+    cards: Annotated[list[Card], Meta(max_length=MOST_CARDS)] = []
+    said: Annotated[list[tuple[Small, Annotated[bytes, Meta(max_length=MOST_CONTENTS)]]],
+                    Meta(max_length=MOST_SAID)] = []  # by pool
+    ids: Annotated[list[Id], Meta(max_length=MOST_IDS)] = []  # whose cards are wanted
+
+
+def member_id(name: str, run: int) -> int:
+    """Which member this is, in eight bytes: a name and one of its runs."""
+    text = f"{name}/{run:x}".encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=8, person=b"member").digest(), "big")
+
+
+def pool_mark(name: str) -> int:
+    """A pool's name in four bytes."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=4, person=b"pool").digest(), "big")
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode: Callable[[bytes], Datagram] = msgspec.msgpack.Decoder(Datagram).decode
+
+
+def size_of(card: Card) -> int:
+    """Bytes that a card takes of a datagram."""
+    return len(_encode(card))
+
+
+WORD_SIZE = len(_encode(Word(2**64 - 1, 2**32 - 1, REPLACED, STRUCK, 2**64 - 1)))
+# Of a datagram, without what it carries.
+_LONG = 2**63 - 1
+EMPTY_SIZE = HEAD + TAG + 5 + len(_encode(Datagram(WANT, _LONG, _LONG, _LONG, _LONG, _LONG)))
+
+
+class Seal:
+    """Keys of the bank: the first seals, each opens; two hold while they are changed."""
+
+    def __init__(self, keys: tuple[bytes, ...]) -> None:
+        self.keys = keys
+
+    def seal(self, datagram: Datagram) -> bytes:
+        data = MAGIC + bytes((FORM,)) + _encode(datagram)
+        if len(data) + TAG > LARGEST:
+            raise ValueError(f"a datagram of {len(data) + TAG} bytes")
+        return data + self.tag(data, self.keys[0])
+
+    @staticmethod
+    def tag(data: bytes, key: bytes) -> bytes:
+        return hashlib.blake2b(data, key=key, digest_size=TAG).digest()
+
+    def open(self, data: bytes) -> Datagram:
+        """What a datagram says. Raises Unread, for a bounded price: what is no proof is not read."""
+        if len(data) > LARGEST:
+            raise Unread("long")
+        if len(data) < HEAD + TAG or data[:2] != MAGIC:
+            raise Unread("strange")
+        body, tag = data[:-TAG], data[-TAG:]
+        if not any(hmac.compare_digest(self.tag(body, key), tag) for key in self.keys):
+            raise Unread("unproved")
+        # Only now: a form that is proved to be of the bank's is a later build's, not noise.
+        if data[2] != FORM:
+            raise Unread("later_form")
+        try:
+            return _decode(body[HEAD:])
+        except (msgspec.DecodeError, ValueError, RecursionError):
+            raise Unread("torn") from None
--- /dev/null
+++ b/whinpier/bank/recall.py
@@ -0,0 +1,47 @@
+"""Where members were, kept in a file, so that a bank that was all restarted finds itself without its seeds.
+
+A help, not a promise: what can't be read or written is said once, and the process goes on by its seeds. Must
+never be read or written on the task path, or hold more than a bound.
+"""
+
+from __future__ import annotations
+
+import os
+
+import msgspec
+
+from whinpier.bank.members import Address
+from whinpier.files import contents
+from whinpier.spec import ConfigFault, address
+
+MOST, LARGEST = 1_000, 64_000  # addresses, bytes
+
+
+class Recalled(msgspec.Struct, forbid_unknown_fields=True):
+    """What the file holds."""
+
+    form: int
+    members: list[str]
+
+
+def read(path: str) -> list[Address]:
+    """Addresses of the last run, none without a file. Raises OSError, and ValueError for another file."""
+    try:
+        found: Recalled = msgspec.json.decode(contents(path, LARGEST), type=Recalled)
+        if found.form != 1 or len(found.members) > MOST:
+            raise ValueError(f"{path}: form {found.form} with {len(found.members)} members")
+        return [address(text, "members") for text in found.members]
+    except FileNotFoundError:
+        return []
+    except (msgspec.DecodeError, ConfigFault) as fault:
+        raise ValueError(f"{path}: {fault}") from None
+
+
+def write(path: str, addresses: list[Address]) -> None:
+    """Put these in the file's place, in one step. Raises OSError."""
+    data = msgspec.json.encode(Recalled(1, ["%s:%d" % one for one in addresses[:MOST]]))
+    other = path + ".new"
+    new = os.open(other, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+    with open(new, "wb") as file:
+        file.write(data)
+    os.replace(other, path)
--- /dev/null
+++ b/whinpier/bank/spec.py
@@ -0,0 +1,43 @@
+"""Plain types of what is configured for the bank. Reads no file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, fields, replace
+
+from whinpier.bank.members import Address, Times
+
+CALLERS = 16  # on the control socket at once
+TILL_RESTART = ("name", "listen", "advertise", "control", "recall")
+
+
+@dataclass(frozen=True)
+class BankSpec:
+    """How this process takes part in the bank."""
+
+    name: str
+    listen: Address
+    advertise: Address  # where the others reach it
+    keys: tuple[bytes, ...]  # the first seals, each opens
+    seeds: tuple[Address, ...] = ()
+    control: str = ""  # path of a Unix socket; empty: none
+    recall: str = ""  # path of a file by which the next run finds the others again; empty: none
+    zone: str = ""
+    times: Times = Times()
+    pools: tuple[str, ...] = ()  # that are shared by as many as the bank says
+
+    @property
+    def descriptors(self) -> int:
+        """What it may hold: its datagrams' socket, the control socket and who calls there."""
+        return 1 + (1 + CALLERS if self.control else 0)
+
+    @property
+    def till_restart(self) -> dict[str, object]:
+        return {key: getattr(self, key) for key in TILL_RESTART}
+
+    def kept(self, old: object) -> BankSpec:
+        """This one as it can be run by a process that was started by an old one."""
+        assert isinstance(old, BankSpec)
+        return replace(self, **{key: getattr(old, key) for key in TILL_RESTART})
+
+    def differs(self, other: BankSpec) -> list[str]:
+        return [one.name for one in fields(BankSpec) if getattr(self, one.name) != getattr(other, one.name)]
--- /dev/null
+++ b/whinpier/bank/start.py
@@ -0,0 +1,18 @@
+"""Puts the bank beside the life of the process; not imported where no file has it."""
+
+from __future__ import annotations
+
+import socket
+
+from whinpier.bank.link import Link
+from whinpier.bank.spec import BankSpec
+from whinpier.runtime.life import Life
+
+
+def start(life: Life, sockets: list[socket.socket]) -> Link:
+    """The link, on a socket that is closed with the others. Raises OSError if its address can't be had."""
+    assert isinstance(life.spec.bank, BankSpec)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+    sockets.append(sock)
+    sock.bind(life.spec.bank.listen)
+    return Link(life, life.spec.bank, sock)
--- a/whinpier/cli/main.py
+++ b/whinpier/cli/main.py
@@ -14,6 +14,7 @@
 
 import click
 
+from whinpier.cli.bank import bank
 from whinpier.cli.lab import lab
 from whinpier.cli.radius import radius
 from whinpier.cli.shown import FILE, fail, show
@@ -214,5 +215,6 @@
     cli(prog_name="whinpier")
 
 
+cli.add_command(bank)
 cli.add_command(lab)
 cli.add_command(radius)
--- a/whinpier/config/operator.py
+++ b/whinpier/config/operator.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import hashlib
 import re
 import tomllib
 from collections.abc import Callable, Iterable
 from dataclasses import fields as fields_of
+from dataclasses import replace
 from random import SystemRandom
 from typing import Annotated, Any, Literal
 
@@ -19,7 +21,7 @@
 from whinpier.files import contents
 from whinpier.routing.table import Route, RouteFault, Table
 from whinpier.runtime.budget import DOOR, MOST_DOOR, spare
-from whinpier.spec import (Beside, ConfigFault, Entry, Fields, Limits, PoolSpec, Spec,
+from whinpier.spec import (Beside, ConfigFault, Entry, Fields, Limits, PoolSpec, Spec, Together,
                            address, differs, kept_till_restart)
 from whinpier.tables import UNITS, Amount, Count, Duration, Part, Strict, Whole, duration, named, part
 
@@ -86,7 +88,7 @@
     discovery: str | None = None
     limits: LimitsTable = LimitsTable()
     says: Says = Says()
-    balancers: Count = 1
+    balancers: Count | None = None  # said: so many, whatever the bank knows
     number: Whole = 0
     zone: str = ""
     zones: list[str] = []
@@ -139,6 +141,7 @@
     pools: dict[str, Any]
     routes: list[Any] = []
     radius: Any = None
+    bank: Any = None
     name: str = "balancer"
     up: str = "/up"
     process: ProcessTable = ProcessTable()
@@ -203,12 +206,12 @@
         raise ConfigFault(f"{at}.zone: {table.zone!r} is not in zones")
     if table.warm_keys:
         raise ConfigFault(f"{at}.warm_keys: keys no longer steer tasks; take it out")
-    if table.number >= table.balancers:
-        raise ConfigFault(f"{at}.number: {table.number} is not below balancers, {table.balancers}")
+    if table.number >= (table.balancers or 1):
+        raise ConfigFault(f"{at}.number: {table.number} is not below balancers, {table.balancers or 1}")
     workloads = [workload(named(key, f"{at}.workloads"), inner, f"{at}.workloads.{key}")
                  for key, inner in table.workloads.items()]
     settings: dict[str, Any] = {
-        "balancers": table.balancers, "slot_no": table.number,
+        "balancers": table.balancers or 1, "slot_no": table.number,
         "zone": table.zones.index(table.zone) if table.zone else 0,
         "limits.max_hand_offs": table.hand_offs, "limits.second_copies": table.second_copies,
         "limits.cancelling": table.cancelling,
@@ -250,6 +253,15 @@
     return {"radius": tables.front(table.radius, pools)}
 
 
+def together(table: FileTable, tables: dict[str, PoolTable]) -> Together | None:
+    """How the process knows the others, if the file says so."""
+    if table.bank is None:
+        return None
+    from whinpier.bank.tables import bank
+
+    return bank(table.bank, table.name, tuple(name for name, one in tables.items() if one.balancers is None))
+
+
 class To(Struct, frozen=True):
     """Where a route leads."""
 
@@ -328,7 +340,8 @@
         if pools[one.to.pool].protocol != "http":
             raise ConfigFault(f"routes.{one.name}.pool: {one.to.pool!r} speaks {pools[one.to.pool].protocol}")
     spec = Spec(table.name, listen, seed, table.process.descriptors, table.process.memory_mb << 20, pools,
-                compiled, beside(table, pools), table.up.encode(), table.process.isolate)
+                compiled, beside(table, pools), table.up.encode(), table.process.isolate,
+                bank=together(table, tables))
     check_room(spec)
     return spec
 
@@ -345,7 +358,9 @@
 def read(path: str) -> Spec:
     """What an operator's file says; a ConfigFault names the file and the key."""
     try:
-        return made(tomllib.loads(contents(path).decode("utf-8")))
+        text = contents(path)
+        revision = hashlib.blake2b(text, digest_size=6).hexdigest()
+        return replace(made(tomllib.loads(text.decode("utf-8"))), revision=revision)
     except ConfigFault as fault:
         raise ConfigFault(f"{path}: {fault}") from None
     except (OSError, ValueError, RecursionError) as fault:
@@ -361,11 +376,13 @@
 
 def changes(old: Spec, new: Spec) -> Iterable[str]:
     """Which keys of the process, and of what runs beside HTTP, differ and wait for a restart."""
-    found = kept_till_restart(old, new)
+    found: list[str] = kept_till_restart(old, new)
     names = sorted(old.beside.keys() | new.beside.keys())
     for name in names:
         before, after = (spec.beside[name].till_restart if name in spec.beside else {} for spec in (old, new))
         found += [f"{name}.{key}" for key in {**before, **after} if before.get(key) != after.get(key)]
+    before, after = (spec.bank.till_restart if spec.bank else {} for spec in (old, new))
+    found += [f"bank.{key}" for key in {**before, **after} if before.get(key) != after.get(key)]
     return found
 
 
--- /dev/null
+++ b/whinpier/lab/bankmutations.py
@@ -0,0 +1,187 @@
+"""Faults put back into the bank's real code, one by one: what the referee must catch, and on which days.
+
+Each replaces methods of the state machine for as long as a run lasts. Must never leave a class changed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from whinpier.bank import forms
+from whinpier.bank.counting import Counting
+from whinpier.bank.forms import HERE, LOST, SILENT, Word
+from whinpier.bank.members import Member, Members
+from whinpier.lab.bank import POOL, Bank
+from whinpier.standin.faults import Fault, Schedule, draw
+from whinpier.standin.referee import Breach
+
+Change = tuple[type, str, Any]
+TWELVE = tuple(range(12))
+# Days that together show every one of them; drawn ones follow.
+DAYS = (
+    Schedule(12, 24.0, (Fault(8.0, "vanish", (5,)), Fault(14.0, "stop", (7, 8), span=3.0))),
+    Schedule(12, 24.0, (Fault(8.0, "cut", parts=(TWELVE[:6], TWELVE[6:]), span=8.0),)),
+    Schedule(12, 40.0, (Fault(6.0, "lossy", span=26.0, amount=0.1),)),
+    Schedule(12, 20.0, (Fault(8.0, "restart", (6, 7), span=0.1),)),
+    Schedule(12, 24.0, (Fault(6.0, "one_way", (1,), (2,), span=8.0), Fault(16.0, "move", (9,), span=0.5))),
+)
+
+
+def nothing(*_: Any, **__: Any) -> None:
+    return None
+
+
+def never_refutes() -> list[Change]:
+    """A member does not answer for itself."""
+    return [(Members, "answer_for", nothing)]
+
+
+def never_loses() -> list[Change]:
+    """The time to refute never ends."""
+    return [(Members, "judge", nothing)]
+
+
+def loses_at_once() -> list[Change]:
+    """One ping without an answer, and it is lost."""
+    def unanswered(self: Members, nonce: int) -> None:
+        probe = self.probes.pop(nonce, None)
+        member = self.members.get(probe.target) if probe else None
+        if member is not None and member.connected:
+            self.adopt(member, Word(member.id, member.word.life, LOST, SILENT, self.card.id))
+    return [(Members, "unanswered", unanswered)]
+
+
+def gives_up() -> list[Change]:
+    """Who is lost is never looked for again."""
+    return [(Members, "retry_lost", nothing), (Members, "try_seeds", once(Members.try_seeds))]
+
+
+def once(real: Callable[[Members], None]) -> Callable[[Members], None]:
+    def early(self: Members) -> None:
+        if not self.joined or self.now < self.began + 5_000_000_000:
+            real(self)
+    return early
+
+
+def silence_is_death() -> list[Change]:
+    """An unheard member is taken for dead, without evidence."""
+    return [(Member, "unheard", property(lambda self: False))]
+
+
+def life_is_ignored() -> list[Change]:
+    """A word is not outdone by what its member said since."""
+    def rank(self: Word) -> tuple[int, int, int, int]:
+        return self.state >= forms.LEFT, 0, self.state, self.why
+    return [(Word, "rank", property(rank))]
+
+
+def asks_nobody() -> list[Change]:
+    """Nobody else is asked to ping."""
+    return [(Members, "ask_others", nothing)]
+
+
+def goes_on_as_if_awake() -> list[Change]:
+    """One that stood still believes its own timers, and loses whom it did not hear."""
+    def enter(self: Members, now: int) -> None:
+        self.now = max(self.now, now)
+    return [(Members, "enter", enter), (Members, "hear", silently)]
+
+
+def silently(self: Members, member: Member) -> None:
+    member.refusals = 0
+
+
+def tells_no_news() -> list[Change]:
+    """Nothing is passed on, and views are not exchanged."""
+    def add_news(self: Members, words: Any, cards: Any, room: int) -> int:
+        return room
+    return [(Members, "add_news", add_news), (Members, "tell_all", nothing)]
+
+
+def keeps_the_old_run() -> list[Change]:
+    """A new run at the same address does not take the old one's place."""
+    return [(Members, "replaced", nothing)]
+
+
+def half_is_larger() -> list[Change]:
+    """Of two halves each takes itself for the larger part."""
+    def where(self: Members) -> str:
+        here, unheard = self.count(), self.tally[1]
+        if here == 1 and unheard:
+            return "alone"
+        return "whole" if not unheard else "larger" if 2 * here >= here + unheard else "smaller"
+    return [(Members, "where", where)]
+
+
+def believes_anybody() -> list[Change]:
+    """Who is not known is taken up on its own word, also a replayed one."""
+    def stranger(self: Members, datagram: Any, probe: Any, source: Any) -> Any:
+        card = next((card for card in datagram.cards if card.id == datagram.sender), None)
+        return self.admit(card, Word(card.id, 0, HERE), datagram.count, True) if card else None
+    return [(Members, "stranger", stranger)]
+
+
+def counts_the_heard() -> list[Change]:
+    """Pools are told of those who are heard only."""
+    def shares(self: Members, mark: int) -> list[tuple[bytes, int]]:
+        found = [(b"", one.id) for one in self.members.values() if one.connected and mark in one.card.pools]
+        return sorted([*found, (b"", self.card.id)])
+    return [(Members, "shares", shares)]
+
+
+MUTATIONS: dict[str, Callable[[], list[Change]]] = {change.__name__: change for change in (
+    never_refutes, never_loses, loses_at_once, gives_up, silence_is_death, life_is_ignored, asks_nobody,
+    goes_on_as_if_awake, tells_no_news, keeps_the_old_run, half_is_larger, believes_anybody,
+    counts_the_heard)}
+
+
+@contextmanager
+def spoilt(name: str) -> Iterator[None]:
+    """The real code with one fault in it."""
+    changes = MUTATIONS[name]()
+    before = [(owner, key, owner.__dict__[key]) for owner, key, _ in changes]
+    try:
+        for owner, key, value in changes:
+            setattr(owner, key, value)
+        yield
+    finally:
+        for owner, key, value in before:
+            setattr(owner, key, value)
+
+
+def holds(schedule: Schedule) -> list[Breach]:
+    """What breaks on a day: the referee's properties, and what pools are told (each half second)."""
+    bank = Bank(schedule)
+    counted: dict[int, Counting] = {}
+    broken: list[Breach] = []
+
+    def look() -> None:
+        bank.clock.after(500_000_000, look)
+        now = (bank.clock.now - bank.clock.start) / 1e9
+        alive = sum(node.alive for node in bank.nodes.values())
+        for number, node in bank.nodes.items():
+            counting = counted.get(number)
+            if counting is None or counting.members is not node.members:
+                counting = counted[number] = Counting(node.members, ("all",))
+            counting.update(bank.clock.now)
+            told = counting.pools["all"].balancers
+            settled = bank.clock.now - node.members.began > 5_000_000_000
+            if node.alive and node.awake and settled and told < alive and not broken:
+                broken.append(Breach("count", now, node.name, f"tells pools of {told} balancers, and "
+                                                              f"{alive} are there"))
+
+    assert POOL
+    bank.clock.after(0, look)
+    found: list[Breach] = bank.play()["breaches"]
+    return found + broken
+
+
+def caught(name: str, drawn: int = 20) -> Schedule | None:
+    """The first day on which a fault shows; None where it never does."""
+    with spoilt(name):
+        for schedule in (*DAYS, *(draw(seed, 9, 40.0, 5) for seed in range(drawn))):
+            if holds(schedule):
+                return schedule
+    return None
--- a/whinpier/runtime/life.py
+++ b/whinpier/runtime/life.py
@@ -50,6 +50,18 @@
     def figures(self) -> dict[str, int]: ...
 
 
+class Bank(Protocol):
+    """What knows the other processes; pools are told of them by it."""
+
+    def start(self) -> None: ...
+
+    def follow(self, spec: Any) -> None: ...
+
+    def leave(self) -> None: ...
+
+    def goodbye(self) -> None: ...
+
+
 class Wire(Protocol):
     """A protocol, as the life of the process puts it together."""
 
@@ -85,6 +97,7 @@
         self.random = self.chance.random if spec.routed else first.choice.split.random
         self.budget.idle = self.idle
         self.fronts = wire.fronts(self)
+        self.bank: Bank | None = None
 
     def add(self, spec: PoolSpec) -> Pool:
         seed = self.chance.getrandbits(64) if self.spec.routed else self.spec.seed
@@ -180,7 +193,8 @@
         """A new file as it can be run by: what waits for a restart is as it was."""
         old = self.spec
         beside = {name: new.beside.get(name, kept) for name, kept in old.beside.items()}
-        return replace(new, beside=beside, **{key: getattr(old, key) for key in KEPT_TILL_RESTART})
+        bank = new.bank.kept(old.bank) if new.bank and old.bank else old.bank
+        return replace(new, beside=beside, bank=bank, **{key: getattr(old, key) for key in KEPT_TILL_RESTART})
 
     def apply(self, new: Spec) -> None:
         """Pools and routes as the new file has them, in one step between two events of the loop."""
@@ -196,6 +210,8 @@
                 self.pools[name].change(spec)
                 log.say("pool_changed", pool=name, keys=",".join(keys))
         self.wire.reroute(self.fronts, self)
+        if self.bank:
+            self.bank.follow(new.bank)
         for pool in leaving:
             self.going.add(pool)
             log.say("pool_leaves", pool=pool.name, out=pool.out)
@@ -255,6 +271,8 @@
         log.say("stopping", out=self.out(), **self.told())
         longest = max(workload.patience for spec in self.spec.pools.values() for workload in spec.workloads)
         self.stop_by = loop.clock() + min(longest, LONGEST) + AFTERWARDS
+        if self.bank:
+            self.bank.leave()
         for task in list(self.ids.values()):
             task.pool.shorten(task, self.stop_by - loop.margin())
         await anyio.sleep(STILL_COMING / SECOND)
@@ -267,6 +285,8 @@
             if loop.clock() > self.stop_by:
                 break
             await anyio.sleep(0.01)
+        if self.bank:
+            self.bank.goodbye()
         log.say("stopped", out=self.out(), **self.total())
         loop.tasks.cancel_scope.cancel()
 
@@ -288,6 +308,8 @@
             loop.spawn(self.heed, loop.tasks.cancel_scope.cancel)
             for pool in self.pools.values():
                 pool.start()
+            if self.bank:
+                self.bank.start()
             loop.at(loop.clock() + SWEEP, loop, self.sweep)
             for front in self.fronts:
                 front.start(listeners if front is self.fronts[0] else [])
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -144,6 +144,8 @@
         self.out = 0  # tasks without an answer
         self.told_once, self.leaving, self.ended = False, False, False
         self.on_end: Callable[[], None] = lambda: None
+        self.speaks: Callable[[bytes], None] | None = None  # to the other balancers of this pool
+        self.counted: dict[str, Any] = {}  # settings that stand in for those of the file
         self.settle_names(spec)
         self.choice = Choice(self, spec.settings, list(spec.workloads), seed)
         self.source = house.watch(self)
@@ -176,7 +178,7 @@
         self.part.change(spec.limits)
         for peer in self.peers():
             peer.configured()
-        self.loop.enter(self, self.choice.change, spec.settings, list(spec.workloads))
+        self.recount()
         if spec.discovery is None:
             if self.source:
                 self.source.end()
@@ -232,7 +234,28 @@
         upstream.close_idle()
 
     def tell(self, balancer: int | None, contents: bytes) -> None:
-        """Nothing carries a message on this protocol: each balancer takes the others to be like itself."""
+        """No protocol of clients and upstreams carries a message; where there is a bank, that does."""
+        if self.speaks:
+            self.speaks(contents)
+
+    def shared(self, balancers: int, number: int) -> None:
+        """So many balancers share this pool, and this one is that one of them."""
+        self.counted = {"balancers": balancers, "slot_no": number, "limits.peers": True}
+        self.recount()
+
+    def alone(self) -> None:
+        """From now on the file says how many share it."""
+        if self.counted:
+            self.counted = {}
+            self.recount()
+
+    def recount(self) -> None:
+        self.loop.enter(self, self.choice.change, self.spec.settings | self.counted,
+                        list(self.spec.workloads))
+
+    def hears(self, balancer: int, contents: bytes) -> None:
+        """What another balancer's decisions tell this one's."""
+        self.loop.enter(self, self.choice.told, balancer, contents)
 
     def follow_list(self, on: bool) -> None:
         if self.source:
--- a/whinpier/spec.py
+++ b/whinpier/spec.py
@@ -131,6 +131,21 @@
         """What of it a reload leaves as it is, by key."""
 
 
+class Together(Protocol):
+    """What the part of a process that knows other processes is configured by; only that part knows more."""
+
+    @property
+    def descriptors(self) -> int:
+        """What it may hold."""
+
+    @property
+    def till_restart(self) -> dict[str, object]:
+        """What of it a reload leaves as it is, by key."""
+
+    def kept(self, old: object) -> Together:
+        """This one as a process can be run by it that was started by an old one."""
+
+
 @dataclass(frozen=True)
 class Spec:
     """The process."""
@@ -146,6 +161,8 @@
     up: bytes = b"/up"  # where a front asks whether this balancer is ready
     isolate: bool = True  # whether pools have guaranteed parts
     not_honoured: list[str] = field(default_factory=list)  # settings that the protocol has no way for
+    bank: Together | None = None  # how it knows the other processes; None: not at all
+    revision: str = ""  # of the operator's file, by its content
 
     @property
     def routed(self) -> bool:
