--- a/whinpier/cli/bank.py
+++ b/whinpier/cli/bank.py
@@ -114,9 +114,10 @@
     if as_json:
         click.echo(json.dumps(found, indent=1))
         return
-    rows = [row | {"heard": ago(row["heard_ms"]), "disputed by": ", ".join(row["disputed_by"])} for row in found]
-    show([{key: row[key] for key in ("to", "state", "way", "heard", "address", "disputed by")} for row in rows],
-         "links")
+    rows = [row | {"heard": ago(row["heard_ms"]), "disputed by": ", ".join(row["disputed_by"])}
+            for row in found]
+    shown = ("to", "state", "way", "heard", "address", "disputed by")
+    show([{key: row[key] for key in shown} for row in rows], "links")
 
 
 @bank.command()
