--- /dev/null
+++ b/benchmarks/members.py
@@ -0,0 +1,333 @@
+"""A bank of real processes under traffic and faults: who is lost when, who names which position, its worth.
+
+`faults` plays a schedule on the bank with the stand-in network between its processes and holds what each said
+against what was done (whinpier/standin/referee.py). `table` compares on-time shares of banks that know each
+other with banks that are told the truth in their files, over the same seconds. `cost` compares CPU with the
+bank on and off. `model` plays drawn faults on simulated time, and every fault that is put back into the code.
+See docs/design/members.md.
+"""
+
+from __future__ import annotations
+
+import os
+import tempfile
+import time
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from pathlib import Path
+from typing import Any
+
+from benchmarks.common import Report, main
+from whinpier.lab.bank import Bank as Model
+from whinpier.lab.bankmutations import MUTATIONS, caught
+from whinpier.standin import files
+from whinpier.standin.bank import Bank, Process
+from whinpier.standin.clients import Asks, Gateway
+from whinpier.standin.faults import Fault, Schedule, draw
+from whinpier.standin.fleet import Fleet
+from whinpier.standin.load import Loads
+from whinpier.standin.referee import Bounds, Referee
+from whinpier.standin.upstream import Script
+
+AGREED, PATIENCE = 0.25, 1.5
+WORK = 0.01  # seconds of an upstream's one worker: 100 tasks a second each
+
+
+class Trial:
+    """One bank with upstreams of its own, and streams to each of its processes."""
+
+    def __init__(self, folder: Path, count: int, upstreams: int, seed: int, kind: str = "exclusive",
+                 known: bool = True, workers: int = 1, relayed: bool = True) -> None:
+        self.kind, self.known, self.told = kind, known, count
+        self.fleet = Fleet({f"s-{n}": Script(workers=workers, work=WORK) for n in range(upstreams)}, seed)
+        self.capacity = upstreams * workers / WORK
+        self.bank = Bank(count, folder, self.service, seed, relayed=relayed)
+        self.seed = seed
+        self.loads: list[Loads] = []
+
+    def service(self, process: Process) -> files.Plain:
+        pool = files.service("t", self.kind, self.fleet.addresses, AGREED, PATIENCE)
+        if not self.known:
+            pool |= {"balancers": self.told, "number": min(process.number, self.told - 1)}
+        return {"pools": {"t": pool}, "routes": [files.route("t", self.kind, "t")],
+                "process": {"seed": f"{self.seed * 1000 + process.number:x}"}}
+
+    def retell(self, balancers: int) -> None:
+        """The files say another number, and those who are left read them again."""
+        self.told = balancers
+        for process in self.bank.processes:
+            if process.alive() and process.balancer:
+                process.balancer.reload(files.document(process.file()))
+
+    def load(self, streams: list[tuple[int, Asks]], start: float, span: float) -> None:
+        addresses = [(self.bank.processes[number].balancer.address, asks)  # type: ignore[union-attr]
+                     for number, asks in streams]
+        self.loads.append(Loads(addresses, self.seed, start, span, most=2_000))
+
+    def asks(self, number: int, rate: float, **more: Any) -> tuple[int, Asks]:
+        method = files.METHODS[self.kind]
+        return number, Asks(f"t{number}", rate, "/t/x", method, "t.example", PATIENCE, AGREED, **more)
+
+    def end(self) -> None:
+        for load in self.loads:
+            load.stop()
+        self.bank.end()
+        self.fleet.stop()
+
+
+def faults(report: Report, folder: Path, count: int, seed: int, lossy: float) -> None:
+    """Kill, silence, pause, a cut, loss: each within its bound, and every answer once."""
+    half = tuple(range(count // 2)), tuple(range(count // 2, count))
+    schedule = Schedule(count, 15.0 + lossy, (
+        Fault(0.5, "kill", (count - 1,)), Fault(0.5, "vanish", (count - 2,)),
+        Fault(4.5, "stop", (3, 4), span=1.0),
+        Fault(6.5, "cut", parts=half, span=3.8), Fault(14.5, "lossy", span=lossy, amount=0.1)), seed)
+    trial = Trial(folder, count, 4, seed, workers=8)
+    bank = trial.bank
+    try:
+        bank.start()
+        bank.until(bank.gathered, 30.0)
+        begun, before = time.monotonic(), [bank.ask(n, "figures")["bytes_out"] for n in range(3)]
+        time.sleep(1.5)
+        quiet = [(bank.ask(n, "figures")["bytes_out"] - one) / (time.monotonic() - begun)
+                 for n, one in enumerate(before)]
+        start = time.monotonic() + 0.5
+        dying = {count - 1, count - 2}
+        trial.load([trial.asks(n, 15.0, ends=0.3 if n in dying else float("inf")) for n in range(count)],
+                   start, schedule.seconds + 0.4)
+        time.sleep(max(0.0, start + 0.4 - time.monotonic()))
+        played = bank.clock()
+        bank.play(schedule)
+        ends = bank.clock()
+        gateways = trial.loads[0].results()
+        referee = Referee(bank.facts, bank.said, ends, Bounds())
+        breaches = referee.judge()
+        for breach in breaches[:10]:
+            report.say(f"     {breach}")
+        report.bound(f"{count} processes: properties broken", len(breaches), most=0)
+        report.bound("deaths held against the bound", referee.checked["dead"], least=2 * (count - 3))
+        report.bound("slowest to lose a dead member, s", referee.slowest["dead"], most=3.0)
+        cut_at = played + 6.5
+        positions: dict[str, tuple[float, str]] = {}
+        for said in bank.said:
+            if said.event == "bank_position" and cut_at <= said.at <= cut_at + 3.8:
+                positions[said.process[0]] = (said.at - cut_at, said.pairs["position"])
+        # With one vanished of those known, neither half has over half of all that are reckoned with.
+        report.bound("slowest to name its position in a cut, s",
+                     max(at for at, _ in positions.values()), most=3.0)
+        report.bound("names of positions that were right, after 3 s of a cut", referee.checked["position"],
+                     least=2 * (count - 2))
+        healed = [said.at - cut_at - 3.8 for said in bank.said if said.event == "member_here"
+                  and cut_at + 3.8 <= said.at <= cut_at + 7.5]
+        report.bound("slowest to be one again, s", max(healed), most=3.0)
+        lost = [said for said in bank.said if said.event == "member_lost" and said.at > played + 14.4]
+        report.bound(f"lost by {lossy:g} s of a tenth lost on all ways", len(lost), most=0)
+        suspected = sum(said.event == "member_suspect" and said.at > played + 14.4 for said in bank.said)
+        answers(report, trial, gateways, dying)
+        report.figure("suspected_by_loss", suspected)
+        report.figure("bytes_s_quiet", max(quiet))
+        report.bound("bytes a second and member at rest", max(quiet), most=10_000)
+    finally:
+        trial.end()
+
+
+def answers(report: Report, trial: Trial, gateways: list[Gateway], dying: set[int]) -> None:
+    tasks = [task for gateway in gateways for task in gateway.told]
+    unanswered = sum(len(gateway.unanswered()) for gateway in gateways)
+    twice = sum(len(gateway.answered_twice()) + gateway.surplus for gateway in gateways)
+    report.bound(f"of {len(tasks)} tasks without an answer", unanswered, most=0)
+    report.bound("answered twice", twice, most=0)
+    report.bound("exclusive tasks that ran twice", len(trial.fleet.ledger().twice()), most=0)
+
+
+ROWS = ("8 balancers, 1.2 times capacity", "2 of them left, the same", "1 left, 0.7 of it")
+
+
+def row_streams(trial: Trial, phases: list[tuple[float, list[int], float]]) -> list[tuple[int, Asks]]:
+    """Streams of one pass: in each phase so many a second, shared by whom it names. From, who, rate."""
+    ends = [phase[0] for phase in phases[1:]] + [float("inf")]
+    found = []
+    for number in sorted({one for _, who, _ in phases for one in who}):
+        surges, last = [], 0.0
+        for (begins, who, rate), until in zip(phases, ends):
+            surges.append((begins, until, rate / len(who) if number in who else 0.0))
+            last = until if number in who else last
+        found.append(trial.asks(number, 1.0, surges=surges, ends=last))
+    return found
+
+
+def shares(gateways: list[Gateway], start: float, windows: list[tuple[float, float]]) -> list[float]:
+    found = []
+    for begins, ends in windows:
+        tasks = [task for gateway in gateways for task in gateway.told
+                 if begins <= task.due - start < ends]
+        found.append(sum(task.on_time(AGREED) for task in tasks) / max(1, len(tasks)))
+    return found
+
+
+def table(report: Report, folder: Path, upstreams: int, seed: int, span: float, beside: bool) -> None:
+    """Eight that become two and one, under load, against the same told the truth by their files."""
+    first = 2.0 + span
+    second, third = first + 5.0 + span, first + 10.0 + 2 * span
+    windows = [(2.0, first), (first + 5.0, second), (second + 5.0, third)]
+    passes = [True, False]
+    gateways: dict[bool, list[Gateway]] = {}
+    starts: dict[bool, float] = {}
+    trials: dict[bool, Trial] = {}
+
+    def drive(those: list[bool]) -> None:
+        for known in those:
+            trials[known] = Trial(folder / f"known-{known}", 8, upstreams, seed, "rerunnable", known)
+            trials[known].bank.start()
+            if known:
+                trials[known].bank.until(trials[known].bank.gathered, 30.0)
+        start = time.monotonic() + 1.0
+        for known in those:
+            trial = trials[known]
+            heavy = 1.2 * trial.capacity
+            trial.load(row_streams(trial, [(0.0, list(range(8)), heavy), (first, [0, 1], heavy),
+                                           (second, [0], 0.7 * trial.capacity)]), start, third)
+            starts[known] = start
+        for at, gone, left in ((first, range(2, 8), 2), (second, range(1, 2), 1)):
+            time.sleep(max(0.0, start + at - time.monotonic()))
+            for known in those:
+                for number in gone:
+                    trials[known].bank.kill(number)
+                if not known:
+                    trials[known].retell(left)
+        for known in those:
+            gateways[known] = trials[known].loads[0].results()
+
+    try:
+        for those in ([passes] if beside else [[one] for one in passes]):
+            drive(those)
+            for known in those:
+                trials[known].end()
+        found = {known: shares(gateways[known], starts[known], windows) for known in passes}
+        late = max(gateway.late for known in passes for gateway in gateways[known])
+        for row, known_share, told_share in zip(ROWS, found[True], found[False]):
+            report.say(f"     {row}: {known_share:.3f} on time, told the truth {told_share:.3f}")
+            report.bound(f"{row}: on time below the told", told_share - known_share, most=0.03)
+        report.figure("rows_known", [round(one, 3) for one in found[True]])
+        report.figure("rows_told", [round(one, 3) for one in found[False]])
+        report.figure("load_late", late)
+    finally:
+        for trial in trials.values():
+            trial.end()
+
+
+def wrong(report: Report, folder: Path, upstreams: int, seed: int, span: float) -> None:
+    """What it is worth: eight whose files say one, and a bank cut into halves, at 1.2 times capacity."""
+    trial = Trial(folder / "cut", 8, upstreams, seed, "rerunnable")
+    found: dict[str, float] = {}
+    try:
+        trial.bank.start()
+        trial.bank.until(trial.bank.gathered, 30.0)
+        start = time.monotonic() + 1.0
+        trial.load([trial.asks(number, 1.2 * trial.capacity / 8) for number in range(8)], start,
+                   5.0 + 2 * span)
+        time.sleep(max(0.0, start + 2.0 + span - time.monotonic()))
+        trial.bank.cut("halves", [0, 1, 2, 3], [4, 5, 6, 7])
+        found["uncut"], found["cut"] = shares(trial.loads[0].results(), start,
+                                              [(2.0, 2.0 + span), (5.0 + span, 5.0 + 2 * span)])
+    finally:
+        trial.end()
+    trial = Trial(folder / "one", 8, upstreams, seed, "rerunnable", known=False)
+    trial.told = 1
+    try:
+        trial.bank.start()
+        start = time.monotonic() + 1.0
+        trial.load([trial.asks(number, 1.2 * trial.capacity / 8) for number in range(8)], start, 2.0 + span)
+        found["files say one"], = shares(trial.loads[0].results(), start, [(2.0, 2.0 + span)])
+    finally:
+        trial.end()
+    for name, share in found.items():
+        report.say(f"     8 balancers, 1.2 times capacity, {name}: {share:.3f} on time")
+    report.bound("cut into halves: on time below the uncut", found["uncut"] - found["cut"], most=0.05)
+    report.figure("files_say_one", found["files say one"])
+
+
+def spent(process: Process) -> float:
+    """Seconds of CPU, to the nanosecond."""
+    assert process.balancer
+    return int(Path(f"/proc/{process.balancer.process.pid}/schedstat").read_text().split()[0]) / 1e9
+
+
+def cost(report: Report, folder: Path, count: int, seed: int, span: float) -> None:
+    """CPU of the bank's own work at rest: processes that know each other less one that knows nobody."""
+    trial = Trial(folder, count, 1, seed)
+    alone = Trial(folder / "alone", 1, 1, seed)
+    alone.bank.seed_count = 0
+    try:
+        trial.bank.start()
+        trial.bank.until(trial.bank.gathered, 30.0)
+        alone.bank.start()
+        time.sleep(1.0)
+        those = [*trial.bank.processes, *alone.bank.processes]
+        before, at = [spent(one) for one in those], time.monotonic()
+        time.sleep(span)
+        shares = [(spent(one) - then) / (time.monotonic() - at) for one, then in zip(those, before)]
+        mine = sum(shares[:count]) / count
+        report.say(f"     {count} at rest: {100 * mine:.2f}% of a core each, alone {100 * shares[-1]:.2f}%")
+        report.bound("CPU of the bank's own work, of a core", mine - shares[-1], most=0.02)
+        report.figure("cpu_of_a_core", mine - shares[-1])
+    finally:
+        trial.end()
+        alone.end()
+
+
+def one_day(given: tuple[int, int, float, int]) -> tuple[int, list[str], dict[str, float], float]:
+    seed, members, seconds, count = given
+    found = Model(draw(seed, members, seconds, count)).play()
+    return seed, [str(breach) for breach in found["breaches"]], found["slowest"], found["bytes_each"]
+
+
+def model(report: Report, days: list[tuple[int, int, float, int]], mutations: bool) -> None:
+    """Drawn faults on simulated time, several processes at once."""
+    broken, slowest, sizes = 0, 0.0, dict[int, float]()
+    with ProcessPoolExecutor(max(1, len(os.sched_getaffinity(0))), get_context("spawn")) as pool:
+        for (seed, breaches, near, size), day in zip(pool.map(one_day, days), days):
+            broken += bool(breaches)
+            slowest = max(slowest, near.get("dead", 0.0))
+            sizes[day[1]] = max(size, sizes.get(day[1], 0.0))
+            for breach in breaches[:3]:
+                report.say(f"     seed {seed}, {day[1]} members: {breach}")
+        report.bound(f"of {len(days)} drawn days in the model that break a property", broken, most=0)
+        report.figure("model_slowest_s", slowest)
+        for members, size in sorted(sizes.items()):
+            report.say(f"     model, {members} members: {size:.0f} bytes a second and member, busiest day")
+            report.figure(f"bytes_s_{members}", size)
+        if mutations:
+            names = sorted(MUTATIONS)
+            missed = [name for name, day in zip(names, pool.map(caught, names)) if day is None]
+            report.say(f"     put back and not caught: {', '.join(missed) or 'none'}")
+            report.bound(f"of {len(names)} faults put back into the code not caught", len(missed), most=0)
+
+
+def bench() -> int:
+    report = Report("members", __doc__ or "")
+    report.parser.add_argument("--only", choices=("faults", "table", "cost", "model"), default="")
+    report.parser.add_argument("--processes", type=int, default=0, help="in `faults`; 12 short, 60 long")
+    report.parser.add_argument("--lossy", type=float, default=0.0, help="seconds of loss; 2 short, 600 long")
+    given = report.options()
+    short, seed = given.short, given.seed
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        if given.only in ("", "faults"):
+            faults(report, folder / "faults", given.processes or (12 if short else 60), seed,
+                   given.lossy or (2.0 if short else 600.0))
+        if given.only in ("", "table") and not (short and not given.only):
+            table(report, folder / "table", 3 if short else 8, seed, 3.0 if short else 10.0, short)
+            if not short:
+                wrong(report, folder / "wrong", 8, seed, 10.0)
+        if given.only in ("", "cost"):
+            cost(report, folder / "cost", 12, seed, 3.0 if short else 20.0)
+    if given.only in ("", "model"):
+        days = [(seed * 100 + n, 12, 30.0, 4) for n in range(6)] if short else (
+            [(n, 200, 45.0, 6) for n in range(200)] + [(n, 1_000, 30.0, 4) for n in range(10)])
+        model(report, days, not short or bool(given.only))
+    return report.close()
+
+
+if __name__ == "__main__":
+    main(bench)
--- a/whinpier/bank/link.py
+++ b/whinpier/bank/link.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 import socket
 import sys
@@ -100,7 +101,7 @@
     # The life of the process.
 
     def start(self) -> None:
-        self.loop.spawn(self.read, lambda: None)
+        asyncio.get_running_loop().add_reader(self.sock, self.came)
         if self.control:
             self.loop.spawn(self.control.run, lambda: None)
         if self.spec.recall:
@@ -135,19 +136,18 @@
 
     # In and out.
 
-    async def read(self) -> None:
-        while True:
-            await anyio.wait_readable(self.sock)
-            for _ in range(AT_ONCE):
-                try:
-                    data, source = self.sock.recvfrom(2_048)
-                except BlockingIOError:
-                    break
-                except OSError:
-                    continue  # what the error queue tells with its address
-                if self.wanted(source):
-                    self.loop.enter(self, self.received, data, source)
-            self.read_errors()
+    def came(self) -> None:
+        """Something can be read. Registered once: to ask anew for each datagram costs more than reading."""
+        for _ in range(AT_ONCE):
+            try:
+                data, source = self.sock.recvfrom(2_048)
+            except BlockingIOError:
+                break
+            except OSError:
+                continue  # what the error queue tells with its address
+            if self.wanted(source):
+                self.loop.enter(self, self.received, data, source)
+        self.read_errors()
 
     def wanted(self, source: Address) -> bool:
         """Whether there is time for one more of an unknown address in this second."""
--- a/whinpier/bank/members.py
+++ b/whinpier/bank/members.py
@@ -26,6 +26,7 @@
 
 MS = SECOND // 1000
 Address = tuple[str, int]
+Alarm = tuple[int, int, Callable[..., None], tuple[Any, ...], int]  # at, number, call, arguments, nonce
 
 MOST = 4_096  # members of a table: four times the largest bank that was tried
 MOST_TOMBS = 4_096  # of those that have gone for good
@@ -142,7 +143,7 @@
         self.at_address: dict[Address, int] = {}  # the run that was last met there
         self.tombs: dict[int, tuple[int, int, Word]] = {}  # until when; the life that outdoes it
         self.probes: dict[int, Probe] = {}
-        self.alarms: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.alarms: list[Alarm] = []
         self.number = 0
         self.out: list[tuple[Address, bytes]] = []
         self.events: list[Event] = []
@@ -177,19 +178,27 @@
 
     def due(self) -> int:
         """When `tick` wants to be called."""
+        # Most pings are answered at once; what was to be done had they not been is no reason to wake.
+        while self.alarms[0][4] and self.alarms[0][4] not in self.probes:
+            heapq.heappop(self.alarms)
         return self.alarms[0][0]
 
     def at(self, at: int, call: Callable[..., None], *args: Any) -> None:
         self.number += 1
-        heapq.heappush(self.alarms, (at, self.number, call, args))
+        heapq.heappush(self.alarms, (at, self.number, call, args, 0))
+
+    def unless_answered(self, at: int, call: Callable[[int], None], nonce: int) -> None:
+        self.number += 1
+        alarm: Alarm = (at, self.number, call, (nonce,), nonce)
+        heapq.heappush(self.alarms, alarm)
 
     def enter(self, now: int) -> None:
         """Note the time; a call that is long overdue tells that this process stood still."""
-        late = now - self.alarms[0][0]
+        late = now - self.due()
         self.now = max(self.now, now)
         if late > STOPPED:
             # Guards against taking the others for silent when it was this one that did not listen.
-            self.alarms = [(at + late, number, call, args) for at, number, call, args in self.alarms]
+            self.alarms = [(alarm[0] + late, *alarm[1:]) for alarm in self.alarms]
             self.event("bank_stood_still", for_ms=late // MS)
         if late > SLOW // 4:
             self.slow, self.slow_at = max(self.slowness(), min(late / SLOW, MOST_SLOW - 1.0)), self.now
@@ -205,8 +214,8 @@
     def tick(self, now: int) -> None:
         """Do what falls due."""
         self.enter(now)
-        while self.alarms[0][0] <= now:
-            _, _, call, args = heapq.heappop(self.alarms)
+        while self.due() <= now:
+            _, _, call, args, _ = heapq.heappop(self.alarms)
             call(*args)
 
     def take(self) -> tuple[list[tuple[Address, bytes]], list[Event], list[tuple[int, int, bytes]]]:
@@ -358,8 +367,8 @@
         nonce = self.ping(member.card.address, member, member.id)
         if nonce:
             answer = self.patient(self.times.answer)
-            self.at(self.now + int(ASK_FIRST * answer), self.ask_others, nonce)
-            self.at(self.now + answer, self.unanswered, nonce)
+            self.unless_answered(self.now + int(ASK_FIRST * answer), self.ask_others, nonce)
+            self.unless_answered(self.now + answer, self.unanswered, nonce)
 
     def ask_others(self, nonce: int) -> None:
         probe = self.probes.get(nonce)
--- a/whinpier/cli/lab.py
+++ b/whinpier/cli/lab.py
@@ -5,7 +5,7 @@
 import json
 import os
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 import click
 
@@ -35,10 +35,16 @@
 @click.option("--json", "as_json", is_flag=True)
 def list_(as_json: bool) -> None:
     """The experiments that come with the project."""
+    from whinpier.lab import bankdays
     from whinpier.lab.experiment import read, shipped
 
-    rows = []
+    rows: list[dict[str, Any]] = []
     for name, path in shipped().items():
+        if bankdays.is_one(path):
+            days = bankdays.read(path)
+            rows.append({"experiment": name, "balancers": days.bank.members, "upstreams": None,
+                         "seconds": days.seconds, "about": days.about})
+            continue
         _, experiment = read(path)
         rows.append({"experiment": name, "balancers": experiment.fleet.balancers,
                      "upstreams": sum(machine.count for machine in experiment.fleet.machines),
@@ -60,12 +66,17 @@
     """Run the experiment FILE. Exits with 1 if a rule was broken or something did not hold."""
     from rich.progress import Progress
 
+    from whinpier.lab import bankdays
     from whinpier.lab.experiment import checked, read
     from whinpier.lab.report import groups, summary
     from whinpier.lab.results import Results, run_all
 
+    if bankdays.is_one(path := found(file)):
+        if on == "sockets":
+            fail(f"{file}: days of the bank are played in the model here; on processes by benchmarks.members")
+        run_bank(path, jobs, out, seeds, as_json)
     try:
-        given, experiment = read(found(file))
+        given, experiment = read(path)
         if seeds:
             given["seeds"] = seeds
         checked(given)
@@ -86,6 +97,36 @@
     raise SystemExit(1 if any(row["failed"] or row["void"] for row in table) else 0)
 
 
+def run_bank(path: Path, jobs: int | None, out: Path | None, seeds: int | None, as_json: bool) -> NoReturn:
+    """Days of the bank; what broke is kept with the least that still breaks it."""
+    import msgspec
+    from rich.progress import Progress
+
+    from whinpier.lab import bankdays
+
+    try:
+        days = bankdays.read(path)
+    except ConfigFault as fault:
+        fail(str(fault))
+    days = msgspec.structs.replace(days, seeds=seeds) if seeds else days
+    folder = out or Path("lab-results") / f"bank-{days.name}"
+    with Progress(disable=as_json) as progress:
+        bar = progress.add_task(days.name, total=None)
+        rows = bankdays.run(days, folder, bankdays.on_cores(jobs),
+                            lambda done, total: progress.update(bar, completed=done, total=total))
+    broken = [row for row in rows if row["broken"]]
+    if as_json:
+        click.echo(json.dumps({"days": rows, "broken": len(broken), "kept": str(folder)}, indent=1))
+    else:
+        show([{"seed": row["seed"], "broken": len(row["broken"]), "dead within": f"{row['dead_s']} s",
+               "bytes a second": row["bytes_s"], "datagrams a second": row["datagrams_s"],
+               "first": (row["broken"] or [""])[0]} for row in rows],
+             f"{days.name}, {days.bank.members} members")
+        if broken:
+            click.echo(f"{len(broken)} of {len(rows)} days broke a property; their schedules are in {folder}")
+    raise SystemExit(1 if broken else 0)
+
+
 def values(texts: tuple[str, ...]) -> dict[str, Any]:
     """PATH=VALUE as they are varied in an experiment; the value as JSON, or as text."""
     chosen: dict[str, Any] = {}
--- a/whinpier/standin/load.py
+++ b/whinpier/standin/load.py
@@ -1,6 +1,6 @@
-"""`python -m whinpier.standin.load`: one stream of tasks from a process of its own, which no other slows.
+"""`python -m whinpier.standin.load`: streams of tasks from a process of its own, which no other slows.
 
-Reads one JSON object from standard input, writes what became of each task as one JSON object.
+Reads one JSON object from standard input, writes what became of each task of each stream as one JSON list.
 """
 
 from __future__ import annotations
@@ -17,30 +17,34 @@
 from whinpier.standin.ledger import Told
 
 
-class Load:
-    """A stream in a process of its own. `start` is a time of the monotonic clock, which processes share."""
+class Loads:
+    """Streams in one process of their own. `start` is a time of the monotonic clock, which all share."""
 
-    def __init__(self, address: tuple[str, int], asks: Asks, seed: int, start: float, span: float,
+    def __init__(self, streams: list[tuple[tuple[str, int], Asks]], seed: int, start: float, span: float,
                  most: int = 400) -> None:
-        self.asks = asks
-        told = asdict(asks) | {"body": asks.body.decode("latin-1"), "ends": min(asks.ends, span)}
+        self.asks = [asks for _, asks in streams]
+        told = [{"address": address, "asks": asdict(asks) | {"body": asks.body.decode("latin-1"),
+                                                             "ends": min(asks.ends, span)}}
+                for address, asks in streams]
         self.process = subprocess.Popen([sys.executable, "-m", "whinpier.standin.load"], text=True,
                                         stdin=subprocess.PIPE, stdout=subprocess.PIPE)
         assert self.process.stdin
-        json.dump({"address": address, "asks": told, "seed": seed, "start": start, "span": span,
-                   "most": most}, self.process.stdin)
+        json.dump({"streams": told, "seed": seed, "start": start, "span": span, "most": most},
+                  self.process.stdin)
         self.process.stdin.close()
 
-    def result(self) -> Gateway:
-        """What its clients saw, once it has ended."""
+    def results(self) -> list[Gateway]:
+        """What the clients of each stream saw, once all have ended."""
         assert self.process.stdout
         text = self.process.stdout.read()
         self.process.wait()
-        found: dict[str, Any] = json.loads(text)
-        gateway = Gateway(("", 0), self.asks, 0)
-        gateway.told = [Told(*row) for row in found.pop("told")]
-        gateway.__dict__.update(found)
-        return gateway
+        gateways = []
+        for asks, found in zip(self.asks, json.loads(text)):
+            gateway = Gateway(("", 0), asks, 0)
+            gateway.told = [Told(*row) for row in found.pop("told")]
+            gateway.__dict__.update(found)
+            gateways.append(gateway)
+        return gateways
 
     def stop(self) -> None:
         if self.process.poll() is None:
@@ -48,22 +52,38 @@
         self.process.wait()
 
 
-async def play(given: dict[str, Any]) -> Gateway:
-    asks = Asks(**(given["asks"] | {"body": given["asks"]["body"].encode("latin-1"),
-                                    "surges": [tuple(surge) for surge in given["asks"]["surges"]]}))
-    gateway = Gateway(tuple(given["address"]), asks, given["seed"], given["most"])
+class Load(Loads):
+    """One stream."""
+
+    def __init__(self, address: tuple[str, int], asks: Asks, seed: int, start: float, span: float,
+                 most: int = 400) -> None:
+        super().__init__([(address, asks)], seed, start, span, most)
+
+    def result(self) -> Gateway:
+        """What its clients saw, once it has ended."""
+        return self.results()[0]
+
+
+async def play(given: dict[str, Any]) -> list[Gateway]:
+    gateways = []
+    for stream in given["streams"]:
+        told = stream["asks"]
+        asks = Asks(**(told | {"body": told["body"].encode("latin-1"),
+                               "surges": [tuple(surge) for surge in told["surges"]]}))
+        gateways.append(Gateway(tuple(stream["address"]), asks, given["seed"], given["most"]))
     await asyncio.sleep(max(0.0, given["start"] - time.monotonic()))
-    await gateway.run(given["span"])
-    return gateway
+    await asyncio.gather(*(gateway.run(given["span"]) for gateway in gateways))
+    return gateways
 
 
 def main() -> int:
-    gateway = asyncio.run(play(json.loads(sys.stdin.read())))
-    rows = [[task.id, task.kind, task.due, task.status, task.latency, task.answers, task.retry_after,
-             task.body, task.tries, task.how] for task in gateway.told]
-    json.dump({"told": rows, "surplus": gateway.surplus, "not_sent": gateway.not_sent, "cut": gateway.cut,
-               "late": gateway.late},
-              sys.stdout)
+    found = []
+    for gateway in asyncio.run(play(json.loads(sys.stdin.read()))):
+        rows = [[task.id, task.kind, task.due, task.status, task.latency, task.answers, task.retry_after,
+                 task.body, task.tries, task.how] for task in gateway.told]
+        found.append({"told": rows, "surplus": gateway.surplus, "not_sent": gateway.not_sent,
+                      "cut": gateway.cut, "late": gateway.late})
+    json.dump(found, sys.stdout)
     return 0
 
 
