--- a/whinpier/bank/limits.py
+++ b/whinpier/bank/limits.py
@@ -100,6 +100,10 @@
         self.level, self.level_at = 0, now
         self.mine, self.mine_till = 0, now  # what may be used, and till when that is known
         self.wanted, self.refused, self.wanted_at = Sum(LOOK, now), Sum(LOOK, now), now
+        self.asks, self.refusals = 0, 0  # since last added: sums that fade cost more
+        self.cap = 0  # of the bucket
+        self.sure, self.sure_till = 0, now  # of those in flight: what lasts over `horizon`, till when it holds
+        self.horizon = limit.span // 3
         self.nothing: dict[int, int] = {}  # who had nothing to lend: when
         self.passed, self.turned_back = 0, 0
         self.out: list[tuple[int, Deal]] = []  # to whom, what
@@ -124,13 +128,14 @@
         while True:
             step = min(now, self.mine_till)
             if step > self.level_at:
-                self.level = min(self.level + self.mine * (step - self.level_at), self.capacity(self.mine))
+                self.level = min(self.level + self.mine * (step - self.level_at), self.cap)
                 self.level_at = step
             if self.mine_till > now:
                 return
             at = self.mine_till
             self.mine = self.count(at)
-            self.level = min(self.level, self.capacity(self.mine))
+            self.cap = self.capacity(self.mine)
+            self.level = min(self.level, self.cap)
             ends = [loan.until for loan in (*self.lent.values(), *self.borrowed.values()) if loan.until > at]
             if self.fenced_till > at:
                 ends.append(self.fenced_till)
@@ -142,7 +147,7 @@
     def changed(self, now: int) -> None:
         """Something was lent, borrowed or given back at this moment."""
         self.settle(now)
-        self.mine_till = now
+        self.mine_till = self.sure_till = now
         self.settle(now)
 
     def capacity(self, mine: int) -> int:
@@ -151,25 +156,43 @@
 
     def take(self, now: int, ends: int = 0) -> bool:
         """Whether one task may pass; `ends` is when it is over at the latest, of those in flight."""
-        self.wanted.add(now)
+        self.asks += 1
         self.wanted_at = now
         if self.limit.kind == RATE:
-            self.settle(now)
+            if now >= self.mine_till:
+                self.settle(now)
+            else:
+                self.level = min(self.level + self.mine * (now - self.level_at), self.cap)
+                self.level_at = now
             good = self.level >= TASK
             self.level -= TASK * good
         else:
             # All that is out now and this one fit into what is there till this one ends, so at each moment
             # till then as well.
-            good = self.used < self.known(now) and self.used < self.count(now, ends)
+            good = self.used < self.lasting(now, ends)
             self.used += good
             self.last_end = max(self.last_end, ends) if good else self.last_end
         if good:
             self.passed += 1
         else:
             self.turned_back += 1
-            self.refused.add(now)
+            self.refusals += 1
         return good
 
+    def lasting(self, now: int, ends: int) -> int:
+        """What is there now and at `ends`, remembered for tasks of usual length."""
+        if ends - now > self.horizon:
+            return self.count(now, ends)
+        if now >= self.sure_till:
+            later = now + self.horizon
+            self.sure = self.count(now, later)
+            changes = [loan.until - self.horizon for loan in self.borrowed.values() if loan.until > later]
+            changes += [loan.until for loan in self.lent.values() if loan.until > now]
+            if self.fenced_till > now:
+                changes.append(self.fenced_till)
+            self.sure_till = min(changes, default=now + SPAN)
+        return self.sure
+
     def give(self, now: int, ran: bool = True) -> None:
         """A task is over; of a rate, what never ran gives back what it took."""
         if self.limit.kind == IN_FLIGHT:
@@ -177,7 +200,7 @@
             self.last_end = self.last_end if self.used else 0
         elif not ran:
             self.settle(now)
-            self.level = min(self.level + TASK, self.capacity(self.mine))
+            self.level = min(self.level + TASK, self.cap)
 
     def wait(self, now: int) -> int:
         """When one that was turned back may come again, as far as that is known here."""
@@ -186,13 +209,21 @@
         mine = self.known(now)
         # Its turn in the queue of those who ask: not sooner than all that was turned back of late would pass.
         due = (TASK - self.level) // mine if mine and self.level < TASK else 0
+        self.fold(now)
         others = int(self.refused.read(now)) * TASK // max(1, mine) // 2 if mine else SPAN
         return max(10 * MS, min(due + others, 10 * SECOND))
 
     # What is needed, and who has it.
 
+    def fold(self, now: int) -> None:
+        """Add what was counted since to the sums that fade."""
+        self.wanted.add(now, self.asks)
+        self.refused.add(now, self.refusals)
+        self.asks = self.refusals = 0
+
     def need(self, now: int) -> int:
         """What this member had better have: what is asked for, and what chance may add."""
+        self.fold(now)
         asked = self.wanted.read(now)
         if (now - self.wanted_at) * asked > GAP * LOOK:
             return self.used  # a pause that chance does not make: whoever asked here now asks elsewhere
