--- a/whinpier/bank/limits.py
+++ b/whinpier/bank/limits.py
@@ -102,7 +102,7 @@
         self.wanted, self.refused, self.wanted_at = Sum(LOOK, now), Sum(LOOK, now), now
         self.asks, self.refusals = 0, 0  # since last added: sums that fade cost more
         self.cap = 0  # of the bucket
-        self.sure, self.sure_till = 0, now  # of those in flight: what lasts over `horizon`, till when it holds
+        self.sure, self.sure_till = 0, now  # in flight: what lasts over `horizon`, till when that holds
         self.horizon = limit.span // 3
         self.nothing: dict[int, int] = {}  # who had nothing to lend: when
         self.passed, self.turned_back = 0, 0
