--- a/whinpier/bank/members.py
+++ b/whinpier/bank/members.py
@@ -75,7 +75,7 @@
 class Member:
     """What is known of one other member."""
 
-    __slots__ = ("card", "id", "word", "since", "heard", "high", "seen", "told", "refusals", "refused_at",
+    __slots__ = ("card", "id", "word", "since", "heard", "high", "seen", "told", "refusals",
                  "refused_since", "disputes", "via", "direct", "introduced", "twice", "said", "mark", "kind")
 
     def __init__(self, card: Card, word: Word, now: int) -> None:
@@ -83,7 +83,7 @@
         self.heard = 0  # when something fresh last came from it itself; 0: never
         self.high, self.seen = -1, 0  # the highest count, and which of the `WINDOW` below it have come
         self.told = 0  # when it was last told what is said of it
-        self.refusals, self.refused_at, self.refused_since = 0, 0, 0
+        self.refusals, self.refused_since = 0, 0
         self.disputes: dict[int, int] = {}  # who calls it lost though it is heard here: when
         self.via, self.direct = 0, 0  # who last reached it for us; when it last answered us itself
         self.introduced = 0  # times that our card went to it
@@ -833,7 +833,7 @@
         if not member.refusals:
             member.refused_since = now
             self.at(now + self.times.probe // 2, self.ask_again, member.id)
-        member.refusals, member.refused_at = member.refusals + 1, now
+        member.refusals += 1
         if member.refusals < 2 or now - member.refused_since < self.times.probe // 3:
             return
         if member.connected and (member.state, member.word.why) != (SUSPECT, REFUSED):
