--- a/whinpier/bank/control.py
+++ b/whinpier/bank/control.py
@@ -30,6 +30,7 @@
 WAITING = 1_000  # events that wait for a watcher; then it is told how many it missed
 PATIENCE = 5.0  # seconds for a caller to take what it asked for, or to ask
 IDLE = 60.0
+LINGER, AFTER = 0.5, 64  # seconds, and pieces, for which a caller whose line is too long is still read
 
 
 class Asked(Struct, forbid_unknown_fields=True):
@@ -182,6 +183,10 @@
                 yield line
         if len(data) > LINE:
             await say(stream, {"id": 0, "ok": False, "fault": f"a line of over {LINE} bytes"})
+            # Guards against the answer being lost with what is unread: that resets the connection.
+            with anyio.move_on_after(LINGER):
+                for _ in range(AFTER):
+                    await stream.receive(LINE)
             return
         with anyio.fail_after(IDLE):
             data += await stream.receive(LINE)
