--- a/whinpier/bank/control.py
+++ b/whinpier/bank/control.py
@@ -33,6 +33,9 @@
 LINGER, AFTER = 0.5, 64  # seconds, and pieces, for which a caller whose line is too long is still read
 
 
+GONE_CALLER = (OSError, TimeoutError, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream)
+
+
 class Asked(Struct, forbid_unknown_fields=True):
     """One request."""
 
@@ -95,8 +98,7 @@
                 async for line in lines(stream):
                     if not await self.answer(line, stream):
                         return
-            except (OSError, TimeoutError, anyio.BrokenResourceError, anyio.ClosedResourceError,
-                    anyio.EndOfStream):
+            except GONE_CALLER:
                 return  # a caller that goes, or does not read, is its own trouble
             finally:
                 self.callers -= 1
@@ -158,17 +160,19 @@
         self.link.watchers.append(heard)
         try:
             await say(stream, {"id": asked.id, "ok": True, "result": {"watching": self.link.spec.name}})
-            while True:
-                while queue:
-                    await say(stream, {"id": asked.id, "event": queue.popleft()})
-                if missed:
-                    lost, missed = missed, 0
-                    await say(stream, {"id": asked.id, "missed": lost})
-                came = anyio.Event()
-                with anyio.move_on_after(IDLE):
-                    await came.wait()
-                    continue
-                await say(stream, {"id": asked.id})  # so that one that has gone is noticed
+            async with anyio.create_task_group() as group:
+                # Guards against watchers that went long ago and still hold the places of others.
+                group.start_soon(until_gone, stream, group.cancel_scope)
+                with suppress(*GONE_CALLER):
+                    while True:
+                        while queue:
+                            await say(stream, {"id": asked.id, "event": queue.popleft()})
+                        if missed:
+                            lost, missed = missed, 0
+                            await say(stream, {"id": asked.id, "missed": lost})
+                        came = anyio.Event()
+                        await came.wait()
+                group.cancel_scope.cancel()
         finally:
             self.link.watchers.remove(heard)
 
@@ -192,6 +196,14 @@
             data += await stream.receive(LINE)
 
 
+async def until_gone(stream: anyio.abc.SocketStream, scope: anyio.CancelScope) -> None:
+    """Wait until a caller has closed its side; what it still says is passed over."""
+    with suppress(*GONE_CALLER):
+        while True:
+            await stream.receive(LINE)
+    scope.cancel()
+
+
 async def say(stream: anyio.abc.SocketStream, whole: dict[str, Any]) -> None:
     with anyio.fail_after(PATIENCE):
         await stream.send(msgspec.json.encode(whole) + b"\n")
