--- a/whinpier/cli/bank.py
+++ b/whinpier/cli/bank.py
@@ -81,6 +81,15 @@
     return command
 
 
+def asked(what: str, path: Path | None, operator: Path | None, as_json: bool) -> Any:
+    """What a process answers; None where it was printed as JSON already."""
+    found = Call(socket_of(path, operator)).one(what)
+    if as_json:
+        click.echo(json.dumps(found, indent=1))
+        return None
+    return found
+
+
 def ago(span: int | None) -> str:
     """Milliseconds as people say it."""
     if span is None:
@@ -94,9 +103,7 @@
 @options
 def members(path: Path | None, operator: Path | None, as_json: bool) -> None:
     """Who is here, suspect, lost or leaving, since when, by whose word; this one's own position."""
-    found = Call(socket_of(path, operator)).one("members")
-    if as_json:
-        click.echo(json.dumps(found, indent=1))
+    if (found := asked("members", path, operator, as_json)) is None:
         return
     click.echo(f"{found['self']}: {found['position']}; {found['here']} here, {found['unheard']} unheard")
     for name, one in found["shares"].items():
@@ -110,9 +117,7 @@
 @options
 def links(path: Path | None, operator: Path | None, as_json: bool) -> None:
     """How this process reaches each of the others: itself, by way of another, or not."""
-    found = Call(socket_of(path, operator)).one("links")
-    if as_json:
-        click.echo(json.dumps(found, indent=1))
+    if (found := asked("links", path, operator, as_json)) is None:
         return
     rows = [row | {"heard": ago(row["heard_ms"]), "disputed by": ", ".join(row["disputed_by"])}
             for row in found]
@@ -124,9 +129,7 @@
 @options
 def figures(path: Path | None, operator: Path | None, as_json: bool) -> None:
     """What it has sent, received, refused and seen since its start."""
-    found = Call(socket_of(path, operator)).one("figures")
-    if as_json:
-        click.echo(json.dumps(found, indent=1))
+    if (found := asked("figures", path, operator, as_json)) is None:
         return
     show([{"figure": name, "count": count} for name, count in sorted(found.items())], "figures")
 
@@ -135,9 +138,7 @@
 @options
 def limits(path: Path | None, operator: Path | None, as_json: bool) -> None:
     """What this process holds, uses, has lent and borrowed of each limit of the whole bank."""
-    found = Call(socket_of(path, operator)).one("limits")
-    if as_json:
-        click.echo(json.dumps(found, indent=1))
+    if (found := asked("limits", path, operator, as_json)) is None:
         return
     show(found, "limits; of a rate in thousandths of a task a second")
 
