Lists are read in every form: indented over many lines, with one limit for the next piece

Checked: each balancer's log says discovery_lost with JSONDecodeError 'line 1 column 2' twice a second from the new configuration on; the list of before stayed, and requests went to what drained. Ruled out: silence (answers came within 80 ms) and SIGHUP (settings_changed at once). Lines at fault: Discovery.ask took each line for a piece, and a list may come indented. Beside it, found by reading: every readable byte put the limit off, so a byte at a time that never makes a line was no silence, and a whole list had no limit of its own. Change: pieces are put together by depth outside quotes, line by line, within the same bound of bytes; one limit for connecting, the head and each next piece, which only whole pieces put off.

--- a/whinpier/net/discovery.py
+++ b/whinpier/net/discovery.py
@@ -6,8 +6,9 @@
 from __future__ import annotations
 
 import json
+import re
 import socket
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import anyio
 import h11
@@ -16,10 +17,39 @@
 from whinpier.net import buffers
 from whinpier.spec import Address, ConfigFault, Entry, entries
 
-SILENCE = 2.5  # seconds: a line comes at least every 2, so that one is missing
+SILENCE = 2.5  # seconds for the next whole piece: one, or an empty line, comes at least every 2
 ANSWER = 1.0  # seconds to connect, and as long until an answer begins: it is on this machine
 FIRST, LONGEST = 0.05, 0.5  # seconds between tries: what it tells counts as told 4 s later at the latest
-LINE = 1024 * 1024  # the longest line: thousands of upstreams, and what reading it takes fits in 32 MB
+PIECE = 1024 * 1024  # the longest piece: thousands of upstreams, and what reading it takes fits in 32 MB
+TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # what stands in quotes in a line of JSON: no line feed can
+
+
+class Pieces:
+    """Puts the pieces of a list together from bytes: JSON objects on one line each, or indented over many."""
+
+    def __init__(self) -> None:
+        self.data, self.depth = bytearray(), 0
+        self.line = 0  # where the one that is still coming begins
+
+    def take(self, data: bytes) -> Iterator[bytes]:
+        """The pieces that have come whole; an empty line between two is an empty one."""
+        searched = len(self.data)
+        self.data += data
+        while (end := self.data.find(b"\n", searched)) >= 0:
+            bare = TEXT.sub(b"", bytes(self.data[self.line:end]))
+            self.depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+            searched = self.line = end + 1
+            if self.depth <= 0:
+                piece = bytes(self.data[:end])
+                del self.data[:self.line]
+                searched = self.line = self.depth = 0
+                yield piece
+        if len(self.data) > PIECE:
+            raise ConfigFault("a piece of the list without end")
+
+    def rest(self) -> bytes:
+        """What has come behind the last whole piece."""
+        return bytes(self.data)
 
 
 class Discovery:
@@ -90,44 +120,60 @@
             self.wait = min(2 * self.wait, LONGEST)
 
     async def ask(self, query: str) -> None:
-        """Take in the lines of one answer as they come; the whole list alone is one line."""
-        parser, rest, begun, address = h11.Connection(h11.CLIENT), b"", False, self.address
+        """Take in the pieces of one answer as they come; the whole list alone is one piece."""
+        parser, pieces = h11.Connection(h11.CLIENT), Pieces()
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as self.sock:
             try:
-                with anyio.fail_after(ANSWER):
-                    self.sock.connect_ex(address)
-                    await anyio.wait_writable(self.sock)
-                asked = h11.Request(method="GET", target="/discovery/hosts" + query,
-                                    headers=[("host", "discovery"), ("accept", "application/json")])
-                self.sock.send((parser.send(asked) or b"") + (parser.send(h11.EndOfMessage()) or b""))
-                while not isinstance(event := parser.next_event(), (h11.EndOfMessage, h11.ConnectionClosed)):
-                    if event is h11.NEED_DATA:
-                        with anyio.fail_after(SILENCE if begun else ANSWER):
-                            await anyio.wait_readable(self.sock)
-                        if self.address != address:
-                            raise ConnectionAbortedError("discovery has moved")
-                        parser.receive_data(buffers.receive(self.sock))
-                    elif isinstance(event, h11.Response):
-                        begun = True
-                        if event.status_code != 200:
-                            raise ConfigFault(f"status {event.status_code}")
-                    elif isinstance(event, h11.Data):
-                        *lines, rest = (rest + event.data).split(b"\n")
-                        for line in lines:
-                            self.line(line)
-                        if len(rest) > LINE:
-                            raise ConfigFault("a line without end")
+                # One limit for all that is waited for, which whole pieces alone put off: bytes that never
+                # make one are silence too.
+                with anyio.fail_after(ANSWER) as limit:
+                    await self.connect(parser, query)
+                    limit.deadline = anyio.current_time() + ANSWER
+                    async for event in self.events(parser):
+                        if isinstance(event, h11.Response):
+                            if event.status_code != 200:
+                                raise ConfigFault(f"status {event.status_code}")
+                            limit.deadline = anyio.current_time() + SILENCE
+                        elif isinstance(event, h11.Data):
+                            for piece in pieces.take(bytes(event.data)):
+                                self.piece(piece)
+                                limit.deadline = anyio.current_time() + SILENCE
                 if not query:
-                    self.line(rest)
+                    self.piece(pieces.rest())
+            except TimeoutError:
+                if pieces.rest():
+                    raise ConfigFault("a piece of the list that does not end") from None
+                raise
             finally:
                 self.sock = None
 
-    def line(self, line: bytes) -> None:
-        """One piece of the list; an empty line only says that the watch stands."""
-        if not line.strip():
+    async def connect(self, parser: h11.Connection, query: str) -> None:
+        assert self.sock
+        self.sock.connect_ex(self.address)
+        await anyio.wait_writable(self.sock)
+        asked = h11.Request(method="GET", target="/discovery/hosts" + query,
+                            headers=[("host", "discovery"), ("accept", "application/json")])
+        self.sock.send((parser.send(asked) or b"") + (parser.send(h11.EndOfMessage()) or b""))
+
+    async def events(self, parser: h11.Connection) -> AsyncIterator[h11.Event]:
+        """What an answer consists of, up to its end."""
+        assert self.sock
+        address = self.address
+        while not isinstance(event := parser.next_event(), (h11.EndOfMessage, h11.ConnectionClosed)):
+            if event is h11.NEED_DATA:
+                await anyio.wait_readable(self.sock)
+                if self.address != address:
+                    raise ConnectionAbortedError("discovery has moved")
+                parser.receive_data(buffers.receive(self.sock))
+            elif isinstance(event, h11.Event):
+                yield event
+
+    def piece(self, piece: bytes) -> None:
+        """One piece of the list; an empty one only says that the watch stands."""
+        if not piece.strip():
             return
         try:
-            found = json.loads(line)
+            found = json.loads(piece)
             seq, whole, hosts = found["seq"], found["whole"], found["hosts"]
         except (ValueError, KeyError, TypeError, RecursionError) as fault:
             raise ConfigFault(f"{type(fault).__name__}: {fault}") from None
