What ends owes nothing: no attempt for who has left, answers before closes, one revision each

Causes: a late loop began attempts for clients whose close it had not read yet; an attempt that waited for a connection was sent on after its client had left where calling off is not allowed; a client that sent over 8 KiB ahead was closed with its request unanswered; an idle client was closed without reading what had just come, over unread bytes; the end did not wait for last answers that a reset could still take; SIGHUP changed the workload under requests in flight (window, attempts, patience); a keyed retry was begun up to the last instant of its window, though its connection may take connect_timeout to come up. Change: the pool asks before each attempt whether the client is still there (one peek), and leaves unsent what is unsent as a request ends; a flooding client is answered, then closed; resting connections are read, then half-closed for a moment; a new revision makes new workloads, which only what was measured passes on to; attempts, copies and calling off are the workload's; retries keep the set-up time off the window.

--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,347 @@
+"""Stories of the instant in which something ends while something is still owed.
+
+The balancer runs in the test's own loop, its clients and upstreams are bare sockets: between two awaits of
+the test nothing else happens, so that each crossing is forced and none depends on luck.
+"""
+
+import json
+import socket
+import struct
+from contextlib import asynccontextmanager
+from itertools import count as numbers
+from pathlib import Path
+from tempfile import NamedTemporaryFile
+
+import anyio
+import pytest
+
+from tests.fake_host import MS, FakeHost
+from tests.waiting import LIMIT
+from whinpier.config.platform import read
+from whinpier.decay import SECOND
+from whinpier.model import ERROR, TICKETED
+from whinpier.net.clients import AHEAD, IDLE, LINGER
+from whinpier.net.upstreams import Link
+from whinpier.net.wire import Http1
+from whinpier.runtime.life import Life
+from whinpier.spec import kept_till_restart
+
+GIVEN = json.loads(Path("example/config.json").read_text())
+FULL = b"HTTP/1.1 503 x\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
+GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+ids = numbers(1)
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def request(lane="charge", remaining=2.0, key=""):
+    """The bytes of a request: `charge` is non-idempotent, `settle` keyed."""
+    key = f"Idempotency-Key: {key or next(ids)}\r\n" if lane == "settle" else ""
+    return (f"POST /{lane} HTTP/1.1\r\nHost: a\r\nX-Txn: {next(ids):x}\r\nX-Remaining: {remaining}\r\n"
+            f"{key}Content-Length: 2\r\n\r\n{{}}").encode()
+
+
+def reset(sock):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+class Stage:
+    """One balancer, and all that it meets."""
+
+    def __init__(self, upstreams, **limits):
+        self.upstreams = [socket.create_server(("127.0.0.1", 0)) for _ in range(upstreams)]
+        self.nobody = socket.create_server(("127.0.0.1", 0))  # where discovery is asked, and says nothing
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.sockets = [*self.upstreams, self.nobody, self.listener]
+        for listener in self.sockets:
+            listener.setblocking(False)
+        hosts = [{"host": f"s-{number}", "dial": "%s:%d" % up.getsockname(), "site": "a", "class": "m",
+                  "block": 0, "health": "up", "share": 1.0, "born_ms": 0}
+                 for number, up in enumerate(self.upstreams)]
+        self.given = json.loads(json.dumps(GIVEN)) | {
+            "listen": "%s:%d" % self.listener.getsockname(), "discovery": "%s:%d" % self.nobody.getsockname(),
+            "known": {"seq": 1, "whole": True, "hosts": hosts}}
+        self.given["settings"]["limits"] |= limits
+        spec = self.spec()
+        self.life = Life(spec, Http1(), lambda: spec, kept_till_restart)
+        self.pool = self.life.pools["all"]
+        self.door, self.welcomed = self.life.fronts[0], 0
+        self.welcome, self.door.welcome = self.door.welcome, self.counted
+
+    def counted(self, listener):
+        taken = self.welcome(listener)
+        self.welcomed += taken
+        return taken
+
+    def spec(self):
+        with NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(self.given, file)
+            file.flush()
+            return read({"BALANCER_CONFIG": file.name})
+
+    def client(self, data=b""):
+        """A client that has connected and sent something; the balancer has seen nothing of it yet."""
+        sock = socket.create_connection(self.listener.getsockname(), LIMIT)
+        sock.sendall(data)
+        sock.setblocking(False)
+        self.sockets.append(sock)
+        return sock
+
+    async def met(self, number=0):
+        """The next connection that comes to an upstream, with the request on it."""
+        with anyio.fail_after(LIMIT):
+            await anyio.wait_readable(self.upstreams[number])
+            sock, _ = self.upstreams[number].accept()
+        sock.setblocking(False)
+        self.sockets.append(sock)
+        return sock, await self.read(sock, b"{}")
+
+    async def read(self, sock, end):
+        """What comes on a socket up to some bytes."""
+        data = b""
+        with anyio.fail_after(LIMIT):
+            while not data.endswith(end) or not data:
+                await anyio.wait_readable(sock)
+                data += (piece := sock.recv(65536))
+                if not piece:
+                    break
+        return data
+
+    async def until(self, holds):
+        with anyio.fail_after(LIMIT):
+            while not holds():
+                await anyio.sleep(0)
+
+    async def turns(self, count=50):
+        """Let the loop turn: whatever is ready is done."""
+        for _ in range(count):
+            await anyio.sleep(0)
+
+    def begun(self):
+        """How many attempts have begun."""
+        return self.pool.counts["handed_off"]
+
+
+@asynccontextmanager
+async def staged(upstreams=1, **limits):
+    stage = Stage(upstreams, **limits)
+    stage.pool.counts.clear()
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(stage.life.serve, [stage.listener])
+            await stage.turns()
+            yield stage
+            tasks.cancel_scope.cancel()
+    finally:
+        for sock in stage.sockets:
+            sock.close()
+
+
+# The client leaves.
+
+@pytest.mark.parametrize("leave", [socket.socket.close, reset])
+async def test_who_has_left_before_the_request_is_read_has_no_attempt_begun(leave):
+    async with staged() as stage:
+        client = stage.client(request())
+        leave(client)  # all of this has come before the balancer looks
+        await stage.until(lambda: stage.welcomed and not stage.door.clients)
+        await stage.turns()
+        assert stage.begun() == 0 and stage.pool.out == 0
+
+
+@pytest.mark.parametrize("leave", [socket.socket.close, reset])
+async def test_who_leaves_as_an_attempt_comes_back_unrun_has_no_further_one_begun(leave):
+    async with staged(2, cancelling=False) as stage:
+        client = stage.client(request())
+        await stage.until(lambda: stage.begun() == 1)
+        at = next(number for number, peer in enumerate(stage.pool.held.values()) if peer.out())
+        upstream, _ = await stage.met(at)
+        link = next(iter(list(stage.pool.held.values())[at].links))
+        upstream.sendall(FULL)
+        leave(client)
+        link.came()  # the answer is read first, the client's leaving waits
+        await stage.until(lambda: stage.pool.counts["clients_left"] == 1)
+        await stage.turns()
+        assert stage.begun() == 1
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+async def test_who_leaves_while_an_attempt_waits_to_be_sent_has_it_never_sent(cancelling, monkeypatch):
+    up, run = anyio.Event(), Link.run
+
+    async def late(link):
+        await up.wait()
+        await run(link)
+
+    monkeypatch.setattr(Link, "run", late)
+    async with staged(cancelling=cancelling) as stage:
+        server = stage.pool.held["s-0"]
+        client = stage.client(request())
+        await stage.until(lambda: server.waiting)
+        client.close()
+        await stage.until(lambda: stage.pool.counts["clients_left"] == 1)
+        assert not server.waiting and stage.pool.on_wire() == 0
+        up.set()  # the connection comes up, for nobody
+        await stage.until(lambda: server.idle)
+        await stage.turns()
+        sock, _ = stage.upstreams[0].accept()
+        sock.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            sock.recv(1)
+        sock.close()
+
+
+async def test_an_attempt_that_is_out_is_called_off_when_its_client_leaves_with_requests_unread_behind():
+    async with staged() as stage:
+        client = stage.client(request() + request() + request())
+        upstream, _ = await stage.met()
+        client.close()
+        assert await stage.read(upstream, b"never") == b""  # the attempt's connection is ended
+        await stage.turns()
+        assert stage.begun() == 1 and not stage.door.clients
+
+
+async def test_who_leaves_in_the_middle_of_a_body_has_no_attempt_begun():
+    async with staged() as stage:
+        client = stage.client(request()[:-1])
+        await stage.until(lambda: any(client.reading for client in stage.door.clients))
+        client.close()
+        await stage.until(lambda: not stage.door.clients)
+        assert stage.begun() == 0 and stage.pool.part.requests.used == 0
+
+
+# Closing.
+
+async def test_who_sends_too_much_ahead_is_answered_what_is_owed_before_the_connection_ends():
+    async with staged() as stage:
+        client = stage.client(request())
+        upstream, _ = await stage.met()
+        client.sendall(request() * (2 * AHEAD // len(request())))
+        await stage.until(lambda: next(iter(stage.door.clients)).flooded)
+        upstream.sendall(GOOD)
+        answer = await stage.read(client, b"never")  # up to the end of the connection
+        assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"\r\n\r\ndone")
+        assert b"connection: close" in answer and stage.begun() == 1
+
+
+async def test_who_sends_too_much_ahead_and_leaves_is_seen_to_leave():
+    async with staged() as stage:
+        client = stage.client(request())
+        upstream, _ = await stage.met()
+        client.sendall(b"x" * (2 * AHEAD))
+        await stage.until(lambda: next(iter(stage.door.clients)).flooded)
+        client.close()
+        assert await stage.read(upstream, b"never") == b""
+        assert stage.pool.counts["clients_left"] == 1
+
+
+async def rested(stage):
+    """A client that has had an answer and has been idle for long, as the balancer has it."""
+    client = stage.client(request())
+    upstream, _ = await stage.met()
+    upstream.sendall(GOOD)
+    await stage.read(client, b"done")
+    inner = next(iter(stage.door.clients))
+    inner.since -= IDLE + 1
+    return client, upstream, inner
+
+
+async def test_a_request_that_arrives_as_a_resting_connection_is_to_be_closed_is_served():
+    async with staged() as stage:
+        client, upstream, inner = await rested(stage)
+        client.sendall(request())
+        inner.sweep(stage.life.loop.clock())  # it has come, and is not read
+        await stage.read(upstream, b"{}")
+        upstream.sendall(GOOD)
+        assert (await stage.read(client, b"done")).startswith(b"HTTP/1.1 200")
+
+
+async def test_a_request_that_arrives_after_the_shutdown_is_not_sent_on_and_resets_nothing_at_once():
+    async with staged() as stage:
+        client, upstream, inner = await rested(stage)
+        inner.sweep(stage.life.loop.clock())
+        assert await stage.read(client, b"never") == b""
+        client.sendall(request())
+        await stage.turns()
+        assert not inner.closed and client.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+        assert stage.begun() == 1
+        inner.since -= LINGER + 1
+        inner.sweep(stage.life.loop.clock())
+        assert inner.closed and stage.begun() == 1
+
+
+async def test_the_end_waits_for_answers_that_may_still_be_on_their_way():
+    async with staged() as stage:
+        client = stage.client(request() + b"POST")  # a close over what is unread would reset the connection
+        upstream, _ = await stage.met()
+        stage.life.closing = True
+        upstream.sendall(GOOD)
+        await stage.until(lambda: not stage.pool.out)
+        assert stage.door.owes()
+        assert (await stage.read(client, b"never")).endswith(b"done")
+        client.close()
+        await stage.until(lambda: not stage.door.owes())
+
+
+# One revision of the settings.
+
+def reloaded(stage, lane, **workload):
+    """The balancer goes on by other settings of a workload."""
+    for given in stage.given["settings"]["workloads"]:
+        if given["name"] == lane:
+            given |= workload
+    stage.life.follow(stage.spec())
+
+
+async def test_a_request_keeps_the_settings_it_came_with_and_one_behind_it_has_the_new_ones():
+    async with staged(2, cancelling=True) as stage:
+        client = stage.client(request("settle") + request("settle"))
+        await stage.until(lambda: stage.begun() == 1)
+        at = next(number for number, peer in enumerate(stage.pool.held.values()) if peer.out())
+        upstream, _ = await stage.met(at)
+        stage.given["settings"]["limits"]["max_hand_offs"] = 1
+        reloaded(stage, "settle", window_us=1000, patience_us=900_000)
+        reset(upstream)  # it may have run: under the new settings it could not be sent again
+        again, head = await stage.met(1 - at)
+        assert 1.0 < float(head.split(b"x-remaining: ")[1].split(b"\r\n")[0]) < 2.0
+        again.sendall(GOOD)
+        assert (await stage.read(client, b"done")).startswith(b"HTTP/1.1 200")
+        await stage.until(lambda: stage.begun() == 3)
+        at = next(number for number, peer in enumerate(stage.pool.held.values()) if peer.out())
+        link = next(link for link in list(stage.pool.held.values())[at].links if link.sending)
+        task = link.sending.task
+        assert task.workload.most == 1 and task.ends - task.came < SECOND
+        link.close()  # as a reset: it may have run
+        await stage.turns()
+        assert stage.begun() == 3
+
+
+@pytest.mark.parametrize("before, after", [("once", "by_key"), ("once", "repeatable")])
+async def test_what_came_as_non_idempotent_is_not_resent_because_a_new_file_says_otherwise(before, after):
+    async with staged(2) as stage:
+        client = stage.client(request("charge"))
+        await stage.until(lambda: stage.begun() == 1)
+        at = next(number for number, peer in enumerate(stage.pool.held.values()) if peer.out())
+        upstream, _ = await stage.met(at)
+        reloaded(stage, "charge", semantics=after, window_us=9_000_000)
+        reset(upstream)
+        assert (await stage.read(client, b"\n")).startswith(b"HTTP/1.1 502")
+        assert stage.begun() == 1
+
+
+# Windows for repeats.
+
+@pytest.mark.parametrize("after, attempts", [(1500, 2), (1800, 1)])
+def test_a_keyed_request_is_not_resent_when_it_could_arrive_outside_its_window(after, attempts):
+    host = FakeHost(TICKETED)  # a window of 2 s; a connection may take a quarter of one to come up
+    host.choice.again.configure({"limits.max_hand_offs": 3})
+    host.task()
+    host.wait(after * MS)
+    host.came_back(host.sent[0], ERROR)
+    assert len(host.sent) == attempts
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -57,26 +57,25 @@
         self.whole = float(settings.get("goal.whole", 1.0))
         self.worst = float(settings.get("goal.worst_class", 0.0))
         self.most = int(settings.get("limits.held", 1 << 30))
-        # A workload that is no longer configured goes once nothing of it is held.
-        held = {workload: tasks for workload, tasks in self.held.items() if tasks}
-        self.held = held | {workload: self.held.get(workload, deque()) for workload in self.choice.workloads}
+        self.held |= {workload: self.held.get(workload, deque()) for workload in self.choice.workloads}
 
     def rank(self) -> None:
         """Order the workloads by what their tasks add for the work they cost, the worst served lifted."""
-        asked = {workload: workload.known.asked.read(self.host.now) + 1.0 for workload in self.held}
-        least = min(self.held, key=lambda workload: workload.known.kept.read(self.host.now) / asked[workload])
+        here = [kind for kind, tasks in self.held.items() if tasks or kind in self.choice.workloads]
+        asked = {workload: workload.known.asked.read(self.host.now) + 1.0 for workload in here}
+        least = min(asked, key=lambda workload: workload.known.kept.read(self.host.now) / asked[workload])
         payoff = sum(workload.payoff * count for workload, count in asked.items())
 
         def worth(workload: Workload) -> float:
             lift = self.worst / asked[workload] if workload is least else 0.0
             return float((self.whole * workload.payoff / payoff + lift) / workload.known.usual)
 
-        self.held = {workload: self.held[workload] for workload in sorted(self.held, key=worth, reverse=True)}
+        self.held = {workload: self.held[workload] for workload in sorted(here, key=worth, reverse=True)}
 
     def waiting(self, workload: Workload | None = None) -> int:
         """How many are held, or of those how many would go before a new task of a workload."""
         first = list(self.held)
-        first = first[:first.index(workload) + 1] if workload else first
+        first = first[:first.index(workload) + 1] if workload in self.held else first
         return sum(len(self.held[other]) for other in first)
 
     def take(self, task: Task) -> str:
@@ -91,7 +90,7 @@
         if (wait <= 0 or self.waiting(workload) > 3 + self.answered.rate(now) * wait / SECOND
                 or self.waiting() >= self.most):
             return self.choice.finish(task)
-        self.held[workload].append(task)
+        self.held.setdefault(workload, deque()).append(task)
         self.choice.wake(now + SECOND // 100)
         return KEEP
 
@@ -132,9 +131,11 @@
         self.configure(settings)
 
     def configure(self, settings: dict[str, Any]) -> None:
-        self.most = int(settings.get("limits.max_hand_offs", 1))
         self.second_copies = settings.get("limits.second_copies", False)
-        self.cancelling = settings.get("limits.cancelling", False)
+        self.setup = int(settings.get("limits.connect_timeout", SECOND // 4))  # till it is sent, at most
+        for workload in self.choice.workloads:  # a task keeps what held when it came
+            workload.most, workload.copies = int(settings.get("limits.max_hand_offs", 1)), self.second_copies
+            workload.cancelling = settings.get("limits.cancelling", False)
         self.due = self.due if self.second_copies else []  # no copy is sent by settings of before
 
     def take(self, task: Task) -> str:
@@ -149,8 +150,8 @@
         now, ran, workload = self.host.now, self.may_have_run(task), task.workload
         # A second effect: an exclusive task is never repeated, a ticketed one only while it is remembered.
         once = (ran is None or workload.kind == RERUNNABLE
-                or workload.kind != EXCLUSIVE and now < ran.sent + workload.window)
-        return once and len(task.hand_offs) < self.most and now < task.ends
+                or workload.kind != EXCLUSIVE and now + self.setup < ran.sent + workload.window)
+        return once and len(task.hand_offs) < workload.most and now < task.ends
 
     def fits(self, task: Task, upstream: Upstream) -> bool:
         """Whether the upstream drops repeats of what may have run before."""
@@ -174,7 +175,7 @@
         """Look again at a repeatable task when its answer is late."""
         workload = hand_off.task.workload
         due = self.host.now + int(self.LATE * workload.known.usual)
-        if workload.kind != EXCLUSIVE and self.second_copies and due < hand_off.task.ends:
+        if workload.kind != EXCLUSIVE and workload.copies and self.second_copies and due < hand_off.task.ends:
             heapq.heappush(self.due, (due, next(self.number), hand_off))
             self.choice.wake(due)
 
@@ -201,8 +202,8 @@
             self.choice.entry.hold(task)
 
     def call_off(self, hand_offs: list[HandOff]) -> None:
-        for hand_off in hand_offs if self.cancelling else []:
-            if not hand_off.outcome:
+        for hand_off in hand_offs:
+            if not hand_off.outcome and hand_off.task.workload.cancelling:
                 self.host.withdraw(hand_off)
 
 
@@ -419,7 +420,7 @@
         for seen in self.pool:
             if seen.silence <= sound:
                 out, parts = out + seen.out, parts + seen.part
-        if task.workload is next(iter(self.choice.entry.held)):
+        if task.workload.known is next(iter(self.choice.entry.held)).known:
             out = min(out, task.workload.known.out)  # what adds most for its work is not kept out by the rest
         if out >= max(1.0, parts) - 0.5 * self.crowded:
             return None
--- a/whinpier/model.py
+++ b/whinpier/model.py
@@ -37,6 +37,9 @@
     streamed: bool = False
     stretch: float = 0.0
     known: Any = None  # what the decisions have observed of it
+    most: int = 1  # attempts of one request, by the settings it came under
+    copies: bool = False  # whether a second one may be sent while the first is out
+    cancelling: bool = False  # whether one that is out may be called off
 
 
 @dataclass(slots=True, eq=False)
--- a/whinpier/net/buffers.py
+++ b/whinpier/net/buffers.py
@@ -171,6 +171,15 @@
         except OSError:
             return b""
 
+    def peek(self) -> bytes | None:
+        """The first byte of what waits unread: None and no bytes as of `received`."""
+        try:
+            return self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b""
+
     def hang_up(self) -> None:
         """Let go of the socket."""
         if self.events:
--- a/whinpier/net/clients.py
+++ b/whinpier/net/clients.py
@@ -52,6 +52,9 @@
     def waited_for(self) -> bool:
         return self.client.task is self
 
+    def abandoned(self) -> bool:
+        return self.client.has_left()
+
     def fulfilled(self, answer: Answer) -> None:
         headers = [pair for pair in answer.headers if pair[0] not in HOP]
         self.client.answer(answer.status, b"".join(answer.parts), headers)
@@ -86,6 +89,7 @@
         self.paid: Part | None = None  # whose bodies its own counts among
         self.left = memoryview(b"")
         self.reading, self.begun, self.last, self.closed = False, False, False, False
+        self.flooded = False  # what comes behind a request that is worked on is read no longer
         self.plain = False  # what is asked for did not need the parser
 
     def pays(self) -> Part | None:
@@ -106,11 +110,13 @@
             if not (fresh and self.take_plain(data)):
                 self.parser.receive_data(data)
                 self.parse()
-        elif not self.last:
+        elif not self.last and not self.flooded:
             self.parser.receive_data(data)
             if len(self.parser.trailing_data[0]) > AHEAD:
+                # Its request is owed an answer, behind which the connection ends; till then what comes is
+                # passed over unread, so that its leaving is still seen.
                 log.warn("client_floods")
-                self.close()
+                self.flooded = True
 
     def take_plain(self, data: bytes) -> bool:
         """Take in a request that has come whole and alone, in the plainest form; False for any other."""
@@ -271,7 +277,7 @@
         """Write the one answer to what was asked."""
         self.task = None
         self.release()
-        self.last = last or self.door.closing or self.door.crowded(self.member)
+        self.last = last or self.flooded or self.door.closing or self.door.crowded(self.member)
         # Where the client ends its connection, or has not sent its request whole, nothing can follow.
         self.last = self.last or not (self.plain or self.parser.their_state is h11.DONE)
         head = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b""))]
@@ -307,10 +313,16 @@
     def flush(self) -> None:
         super().flush()
         if self.last and not self.left and not self.closed:
-            try:
-                self.sock.shutdown(socket.SHUT_WR)  # closing at once could cut off what is still on its way
-            except OSError:
-                self.close()
+            self.half_close()
+
+    def half_close(self) -> None:
+        """End this side, and read on for a moment: nothing of what comes now is taken."""
+        # Guards against a close over unread bytes, which would take what is still on its way with it.
+        self.last, self.since = True, self.loop.clock()
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
 
     def sweep(self, now: int) -> None:
         """Every wait for a client has an end."""
@@ -321,14 +333,20 @@
             if waited > HALF:
                 log.warn("slow_client", reading=self.reading)
                 self.close() if self.left else self.refuse(BadRequest(408, "half a request"))
-        elif waited > (LINGER if self.last else HALF if self in self.door.strangers else IDLE):
+        elif self.last and waited > LINGER:
             self.close()
+        elif not self.last and waited > (HALF if self in self.door.strangers else IDLE):
+            self.end()
 
-    def read_last(self) -> None:
-        """Take in what may just have come, or close."""
+    def end(self) -> None:
+        """Take in what may just have come, or end the connection."""
+        if self.read_last():
+            self.half_close()
+
+    def read_last(self) -> bool:
+        """Take in what may just have come; whether it is idle all the same."""
         self.read()
-        if not self.closed and self.idle():
-            self.close()
+        return not self.closed and self.idle()
 
     def idle(self) -> bool:
         return self.task is None and not self.reading and not self.last and not self.left
@@ -337,10 +355,13 @@
         """Whether closing loses nothing: it had its last answer, or is idle and nothing has come unread."""
         if self.last or not self.idle():
             return self.last and not self.left
-        try:
-            return not self.sock.recv(1, socket.MSG_PEEK)
-        except OSError:  # nothing there, or the connection broken
-            return True
+        return not self.peek()
+
+    def has_left(self) -> bool:
+        """Whether it has closed its connection, which a late loop may not have read yet."""
+        if not self.closed and self.peek() == b"":
+            self.close()
+        return self.closed
 
     def close(self) -> None:
         if self.closed:
--- a/whinpier/net/door.py
+++ b/whinpier/net/door.py
@@ -142,7 +142,8 @@
             client.sweep(now)
         longest = self.longest_idle(now - SWEEP)
         while self.crowded() and (idle := next(longest, None)):
-            idle.read_last()
+            if idle.read_last():
+                idle.close()
 
     # The end.
 
@@ -153,11 +154,11 @@
         """No more is taken: what is idle goes, once what may just have come is read."""
         for client in list(self.clients):
             if client.idle():
-                client.read_last()
+                client.end()
 
     def owes(self) -> bool:
-        """Whether an answer is not written whole, or a request has begun to come."""
-        return any(client.left or client.reading for client in self.clients)
+        """Whether an answer is not written whole or may be on its way, or a request has begun to come."""
+        return any(client.left or client.reading or client.last for client in self.clients)
 
     def figures(self) -> dict[str, int]:
         return {"clients": len(self.clients)}
--- a/whinpier/net/upstreams.py
+++ b/whinpier/net/upstreams.py
@@ -116,6 +116,9 @@
         elif sent in self.waiting:
             self.waiting.remove(sent)
 
+    def unsent(self, sent: Sent) -> bool:
+        return sent in self.waiting
+
     def unused(self) -> Iterator[tuple[int, Callable[[], None]]]:
         return ((link.since, link.close) for link in self.idle)
 
@@ -230,15 +233,7 @@
 
     def sound(self) -> bool:
         """Whether an idle connection still stands and holds nothing that nobody asked for."""
-        if self.since < self.server.oldest():
-            return False
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False
+        return self.since >= self.server.oldest() and self.peek() is None
 
     def start(self, sending: Sending) -> None:
         """Write a hand-off; what the socket does not take at once goes out as it can."""
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -64,6 +64,10 @@
         """Whether its client still waits for this task's answer."""
         raise NotImplementedError
 
+    def abandoned(self) -> bool:
+        """Whether its client has left, noticed or not; if so the pool has been told by now."""
+        return False
+
     def fulfilled(self, answer: Any) -> None:
         """Final answer: what the upstream made."""
         raise NotImplementedError
@@ -104,6 +108,10 @@
         """Wait no longer for a hand-off; whoever stops it tells its outcome."""
         raise NotImplementedError
 
+    def unsent(self, sent: Sent) -> bool:
+        """Whether nothing of an attempt has gone out yet, so that it can be left unsent."""
+        return False
+
     def moved(self, dial: Address) -> None:
         """It is met at this address from now on."""
 
@@ -211,13 +219,12 @@
     def change(self, spec: PoolSpec) -> None:
         """Go on by another configuration; tasks, connections and what is known of upstreams stay."""
         before, kept = self.spec, {workload.name: workload for workload in self.spec.workloads}
-        for index, new in enumerate(spec.workloads):
+        for new in spec.workloads:
+            # Guards against a mixture of two files: a request that is here keeps the workload it came with,
+            # with all that says how it may be repeated; only what was measured goes on under the new one.
             old = kept.get(new.name)
-            # Guards against a task that is out and may suddenly be repeated: another kind is another one.
             if old and (old.kind, old.group, old.streamed) == (new.kind, new.group, new.streamed):
-                old.agreed_time, old.patience, old.window = new.agreed_time, new.patience, new.window
-                old.payoff, old.late_payoff, old.stretch = new.payoff, new.late_payoff, new.stretch
-                spec.workloads[index] = old
+                new.known = old.known
         self.settle_names(spec)
         self.part.change(spec.limits)
         for peer in self.peers():
@@ -243,8 +250,10 @@
         assert isinstance(task, Taken) and isinstance(upstream, Peer)
         log.must(not task.ended, "nothing is sent for a task that has its answer")
         log.must(upstream.state == READY, "nothing new is sent to what drains or is gone")
-        given = self.given(upstream.passes, self.now, task.ends) if upstream.passes else ()
-        if given is None:
+        # Guards against attempts for nobody: a late loop decides before it reads that the client has left.
+        gates = () if task.abandoned() else upstream.passes
+        given = self.given(gates, self.now, task.ends) if gates else ()
+        if given is None or task.ended:
             # What was free has ended meanwhile: it is not sent, and the decisions hear so at once.
             sent = Sent(task, upstream, self.now)
             task.hand_offs.append(sent)
@@ -380,6 +389,11 @@
             ran = any(sent.outcome not in NEVER_RAN for sent in task.hand_offs)
             for gate in task.gates:
                 gate.give(self.now, ran)
+        for sent in task.hand_offs:
+            # Guards against an attempt that waits for a connection and would begin for nobody. To call off
+            # what is out is the decisions' matter, and not allowed everywhere; this has not begun.
+            if isinstance(sent, Sent) and not sent.settled and sent.peer.unsent(sent):
+                self.stop_waiting(sent, MOOT)
         if self.leaving:
             self.check_end()
 
