A request that waits for a connection to where its upstream was is not left waiting

Beside it: Server.free closed a connection to an address that the list had moved away from and left the attempts that waited for it without one until their time was up; now the longest waiting one has its outcome.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -197,6 +197,27 @@
         sock.close()
 
 
+async def test_an_attempt_that_waits_for_a_connection_to_where_its_upstream_was_goes_elsewhere(monkeypatch):
+    up, run = anyio.Event(), Link.run
+
+    async def late(link):
+        await up.wait()
+        await run(link)
+
+    monkeypatch.setattr(Link, "run", late)
+    async with staged(2) as stage:
+        client = stage.client(request())
+        await stage.until(lambda: stage.begun() == 1)
+        peers = list(stage.pool.held.values())
+        at = next(number for number, peer in enumerate(peers) if peer.out())
+        peers[at].moved(peers[1 - at].address)  # as the list says; the connection to the old address comes up
+        up.set()
+        with anyio.fail_after(1.0):  # well before its time is up
+            upstream, _ = await stage.met(1 - at)
+        upstream.sendall(GOOD)
+        assert (await stage.read(client, b"done")).startswith(b"HTTP/1.1 200")
+
+
 async def test_an_attempt_that_is_out_is_called_off_when_its_client_leaves_with_requests_unread_behind():
     async with staged() as stage:
         client = stage.client(request() + request() + request())
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -132,7 +132,8 @@
 
     def configure(self, settings: dict[str, Any]) -> None:
         self.second_copies = settings.get("limits.second_copies", False)
-        self.setup = int(settings.get("limits.connect_timeout", SECOND // 4))  # till it is sent, at most
+        # Till an attempt has come whole, at most: a new connection, and a twentieth of a second on the way.
+        self.setup = int(settings.get("limits.connect_timeout", SECOND // 4)) + SECOND // 20
         for workload in self.choice.workloads:  # a task keeps what held when it came
             workload.most, workload.copies = int(settings.get("limits.max_hand_offs", 1)), self.second_copies
             workload.cancelling = settings.get("limits.cancelling", False)
--- a/whinpier/net/upstreams.py
+++ b/whinpier/net/upstreams.py
@@ -165,6 +165,7 @@
         if self.state != READY or link.address != self.address or many or (
                 not self.waiting and self.pool.house.budget.called_back(self.pool.part)):
             link.close()
+            self.not_opened()  # what waited for it waits for nothing now, where the upstream has moved
             return
         link.since = self.loop.clock()
         self.idle.append(link)
