A cold upstream is dealt out by chance in parts that keep their sum over all balancers

Cause: each balancer kept a bound of its own (1.5 times its part by age over five seconds) and sent while it stood at or below it, so that each rounded up; with a bound under one, one each adds up, and the bound grew with what was sent, also in a burst. Lines at fault: Split.open_to, cold_bound, usual_sends. Change: a cold upstream leaves the draw by share and is due its part by age of what a warm one answers, over the time in which the settings let it fall; of a part of a request one comes by chance, and what is not used by the next turn lapses. More, up to half of what it bears, only while tasks wait for room.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,13 +1,16 @@
 """Short stories: one for each rule and each failure met."""
 
+from bisect import bisect_right
 from collections import Counter
+from math import sqrt
+from random import Random
 
 import pytest
 
 from tests.fake_host import MS, SETTINGS, FakeHost
 from whinpier.choice import SECOND, level
-from whinpier.model import (DRAINING, ERROR, EXCLUSIVE, FULL, NO_CONNECTION, READY, RERUNNABLE, RESET,
-                            TICKETED, TIMED_OUT, Upstream)
+from whinpier.model import (DRAINING, ERROR, EXCLUSIVE, FULFILLED, FULL, NO_CONNECTION, READY,
+                            RERUNNABLE, RESET, TICKETED, TIMED_OUT, Upstream)
 from whinpier.peers import Peers
 
 
@@ -215,6 +218,59 @@
     assert 0 < first < 0.2 * 2.5 * 1.5 * 100  # 100 a second is what a warm one gets; cold from a fifth of it
 
 
+def cold_fleet(number, count, rate, burst, kind):
+    """When each of two upstreams that come back cold is sent what by one of `count` balancers, by its age.
+
+    `rate` tasks a second come to all together, at random, and `burst` times as many once the two are back;
+    upstreams turn away what is beyond their capacity, a third above what they usually get.
+    """
+    chance = Random(number)
+    host = FakeHost(kind, 12, balancers=count, seed=number, slot_no=number,
+                    **{"rules.fall": 1500 * MS, "rules.fall_multiple": 2.5})
+    each, sent = rate / count * chance.uniform(0.4, 1.6), []
+
+    def go(span, each, full):
+        until, due = host.now + span, host.now + int(chance.expovariate(each) * SECOND)
+        while host.now < until:
+            while due <= host.now:
+                host.task()
+                due += int(chance.expovariate(each) * SECOND)
+            for out in host.out():
+                if out.sent + (120 if out.upstream.id >= 100 else 50) * MS <= host.now:
+                    host.came_back(out, FULL if chance.random() < full else FULFILLED)
+            host.sent[:] = host.out()
+            host.wait(10 * MS)
+
+    def counted(task, upstream, stop_at=0, send=host.hand_off):
+        if upstream.started:
+            sent.append((upstream.id, host.now - upstream.started))
+        return send(task, upstream)
+
+    host.hand_off = counted
+    go(5 * SECOND, each, 0.0)
+    host.choice.listed(host.upstreams[2:] + [Upstream(100 + n, READY, 0, 0, host.now) for n in range(2)])
+    go(5 * SECOND, each * burst, max(0.0, 1.0 - 1.0 / (0.75 * burst)))
+    return sent
+
+
+@pytest.mark.parametrize("kind", [EXCLUSIVE, RERUNNABLE])
+@pytest.mark.parametrize("count, rate", [(1, 300.0), (20, 300.0), (30, 300.0), (30, 60.0), (200, 300.0)])
+@pytest.mark.parametrize("burst", [1.0, 2.0])
+def test_all_balancers_together_never_send_a_cold_upstream_more_than_it_bears_and_bring_it_on(
+        count, rate, burst, kind):
+    """Each kept a bound of its own and rounded up: thirty sent 57 in a second and a half where 37 fell it."""
+    sent = [one for number in range(count) for one in cold_fleet(number, count, rate, burst, kind)]
+    capacity, span = rate / 12 / 0.75, 1500 * MS  # a second, of a warm one
+    for upstream in (100, 101):
+        ages = sorted(age for at, age in sent if at == upstream)
+        assert len(ages) > 0.2 * rate / 12 * 5 / 2  # half of what it can do while it is coldest
+        for last, age in enumerate(ages):
+            first = bisect_right(ages, age - span)
+            speed = 0.2 + 0.8 * max(0, age - span) / (10 * SECOND)  # at the window's start
+            bears = 2.5 * speed * capacity * span / SECOND
+            assert last + 1 - first <= bears + 2 * sqrt(bears) + 2, (upstream, age / SECOND)
+
+
 def test_the_quick_answers_of_a_restarted_balancers_first_seconds_do_not_narrow_its_room():
     host = FakeHost(RERUNNABLE, 3)
     before = host.choice.split.ease
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -11,8 +11,7 @@
 
 from tests.fake_host import MS, FakeHost
 from tests.waiting import LIMIT, until
-from whinpier.observed import WINDOW
-from whinpier.decay import SECOND, Sum
+from whinpier.decay import SECOND, Turn
 from whinpier.model import READY, Upstream, Workload
 from whinpier.runtime.budget import Budget, Part
 from whinpier.spec import Limits
@@ -298,8 +297,8 @@
     for shared, found in ((False, alone), (True, both)):
         for number, host in enumerate(hosts):
             fresh = Upstream(100 + shared, READY, 0, 0, host.now)
-            fresh.sends = both[0] if shared and number else Sum(WINDOW, host.now)
-            found.append(fresh.sends)
+            fresh.turn = both[0] if shared and number else Turn(host.now)
+            found.append(fresh.turn)
             host.choice.listed([*host.upstreams, fresh])
         for _ in range(100):  # the two in turn, as in one process
             for host in hosts:
--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -12,7 +12,7 @@
 import heapq
 from bisect import bisect_right
 from collections import deque
-from itertools import accumulate, count as numbers, islice
+from itertools import accumulate, chain, count as numbers, islice
 from math import exp
 from random import Random
 from typing import Any
@@ -20,7 +20,7 @@
 from whinpier.decay import SECOND, Sum
 from whinpier.model import (ERROR, EXCLUSIVE, FULFILLED, FULL, MOOT, NEVER_RAN, NO_CONNECTION, READY,
                             RERUNNABLE, TIMED_OUT, WITHDRAWN, HandOff, Host, Task, Upstream, Workload)
-from whinpier.observed import WINDOW, Known, Seen
+from whinpier.observed import Known, Seen
 from whinpier.peers import Peers
 
 PASS, KEEP, END = "pass on", "keep", "end"
@@ -132,8 +132,7 @@
 
     def configure(self, settings: dict[str, Any]) -> None:
         self.second_copies = settings.get("limits.second_copies", False)
-        # Till an attempt has come whole, at most: a new connection, and a twentieth of a second on the way.
-        self.setup = int(settings.get("limits.connect_timeout", SECOND // 4)) + SECOND // 20
+        self.setup = settings.get("limits.connect_timeout", SECOND // 4) + SECOND // 20  # till it has come
         for workload in self.choice.workloads:  # a task keeps what held when it came
             workload.most, workload.copies = int(settings.get("limits.max_hand_offs", 1)), self.second_copies
             workload.cancelling = settings.get("limits.cancelling", False)
@@ -231,10 +230,11 @@
         self.drawn: list[Seen] = []  # those with a share
         self.bounds: list[float] = []  # running sums of their shares
         self.span, self.ease = 3 * SECOND, 0.0  # ease: the least mean latency of late, in seconds
-        self.arrived, self.went = Sum(self.span, self.host.now), Sum(WINDOW, self.host.now)
+        self.cold: list[Seen] = []  # those of the pool that are not warm yet
+        self.arrived = Sum(self.span, self.host.now)
         self.configure(settings)
         self.traffic, self.asking = 1.0 / self.balancers, float(self.number)
-        self.total, self.owed, self.usual_sends, self.sharing, self.crowded = 0, 0.0, 0.0, 1.0, False
+        self.total, self.owed, self.usual, self.sharing, self.crowded = 0, 0.0, 0.0, 1.0, False
 
     def configure(self, settings: dict[str, Any]) -> None:
         self.peers, self.balancers = Peers(), max(1, int(settings.get("balancers", 1)))  # others, other rates
@@ -242,8 +242,8 @@
         self.probes = settings.get("limits.probes", False) and settings.get("report.source") == "on_probe"
         self.tells = bool(settings.get("limits.peers", False)) and self.balancers > 1
         self.number, self.zone = int(settings.get("slot_no", 0)), settings.get("zone", 0)
-        self.cold_from = float(settings.get("rules.cold_from", 1.0))
-        self.cold = int(settings.get("rules.cold", 0))  # the time it takes to warm up
+        self.cold_from, self.warm_up = settings.get("rules.cold_from", 1.0), settings.get("rules.cold", 0)
+        self.bears, self.fall = settings.get("rules.fall_multiple", 2.0), settings.get("rules.fall", SECOND)
         agreed = [workload.agreed_time / SECOND for workload in self.choice.workloads]
         self.ease = self.ease or min(agreed) / 5  # a start until it is known
         self.crossing = float(settings.get("prices.cross_zone", 0.0)) * max(agreed)  # its price as time
@@ -252,10 +252,8 @@
         """Follow the list: what drains or is missing gets nothing new from this moment on."""
         for upstream in upstreams:
             if upstream.seen is None:
-                seen = upstream.seen = Seen(upstream, self.host.now, self.span)
-                # Guards against hundreds of balancers that each send a fresh upstream its first task at once.
-                start = self.cold_bound(seen) + self.random() if self.ready else 0.0
-                seen.sends.value = max(seen.sends.value, start)
+                wait = int(self.fall * self.random()) if self.ready else 0
+                upstream.seen = Seen(upstream, self.host.now, self.span, wait)
         ready = sorted((up.seen for up in upstreams if up.state == READY), key=lambda seen: seen.upstream.id)
         # Who joins a list is taken up by chance, so that it meets as many balancers as the others.
         part = self.want(len(ready)) / max(1, len(ready)) if self.ready else 0.0
@@ -311,8 +309,8 @@
             seen.told, seen.mute = now, 0
 
     def age(self, upstream: Upstream) -> float:
-        old = self.host.now - upstream.started if upstream.started else self.cold
-        return 1.0 if old >= self.cold else self.cold_from + (1.0 - self.cold_from) * max(0, old) / self.cold
+        old, most = self.host.now - upstream.started if upstream.started else self.warm_up, self.warm_up
+        return 1.0 if old >= most else self.cold_from + (1.0 - self.cold_from) * max(0, old) / most
 
     def doubted(self, seen: Seen, but: HandOff | None = None) -> bool:
         # Guards against one that takes tasks and answers none: what is out bounds its latency by its age.
@@ -341,10 +339,12 @@
         self.span = int(min(max(30.0 * len(pool) / max(own, 1.0), 3.0), 10.0) * SECOND)
         for seen in pool:
             seen.share, seen.due.span, seen.answers.span = 0.0, self.span, self.span
+            seen.cold = self.age(seen.upstream) < 1.0
             self.make_room(seen)
-        # What a warm upstream usually gets from here in the window: the measure for a cold one.
-        warm = sum(self.age(seen.upstream) >= 1.0 for seen in pool)
-        self.usual_sends = self.went.read(now) / warm if warm else own * WINDOW / SECOND / max(1, len(pool))
+        # What a warm one answers from here in the time that lets a cold one fall is the measure for that one.
+        self.cold, even = [seen for seen in pool if seen.cold], own / max(1, len(pool))
+        warm, answers = len(pool) - len(self.cold), [w.known.answers.rate(now) for w in self.choice.workloads]
+        self.usual = (max(sum(answers) / warm, even / 4) if warm else even) * self.fall / SECOND
         # Until latencies and a rate exist the draw is even.
         shares = level(self.costs(sure, mean), rate) if mean and rate >= 1.0 else [1.0] * len(sure)
         for seen, share in zip(sure, shares):
@@ -355,7 +355,7 @@
             seen.share /= total
             if seen.given is not None:
                 seen.given += (seen.share * rate - seen.given) * step
-        self.drawn = [seen for seen in sure if seen.share > 0.0]
+        self.drawn = [seen for seen in sure if seen.share > 0.0 and not seen.cold]
         self.bounds = list(accumulate(seen.share for seen in self.drawn))
 
     def measure(self, now: int) -> float:
@@ -408,11 +408,12 @@
                 or any(sent.upstream is upstream for sent in task.hand_offs)
                 or task.hand_offs and not self.choice.again.fits(task, upstream)):
             return False
-        return self.age(upstream) >= 1.0 or seen.sends.read(now) <= self.cold_bound(seen)
-
-    def cold_bound(self, seen: Seen) -> float:
-        # Guards against pushing over a cold upstream: its part by age of a warm one's, and half more.
-        return 1.5 * self.age(seen.upstream) * self.usual_sends
+        if (age := self.age(upstream)) >= 1.0:
+            return True
+        # Guards against a cold one that all balancers push over together, each by rounding up: it is due its
+        # part by age of what a warm one answers; more, by what it bears, only where tasks wait for room.
+        part = age * self.usual * (self.bears / 2 if self.choice.entry.waiting() else 1.0)
+        return seen.turn.due(now, self.fall, part, self.random)
 
     def find(self, task: Task) -> Seen | None:
         """The upstream for a task; None where nothing may be sent to."""
@@ -431,10 +432,10 @@
             if idle := [seen for seen in self.pool if seen.out == 0 and self.open_to(seen, task)
                         and (seen.share == 0.0 or self.doubted(seen))]:
                 return self.pick(idle)
-        # Four random draws by share: enough to pass by the few that are in doubt, full or not allowed.
+        # After cold ones that are due one, four draws by share: enough to pass by the few that can't have it.
         points = (self.random() * self.bounds[-1] for _ in range(4 if self.drawn else 0))
-        drawn = (self.drawn[bisect_right(self.bounds, at, 0, len(self.drawn) - 1)] for at in points)
-        fit = (seen for seen in drawn if not self.doubted(seen) and self.open_to(seen, task))
+        warm = (self.drawn[bisect_right(self.bounds, at, 0, len(self.drawn) - 1)] for at in points)
+        fit = (seen for seen in chain(self.cold, warm) if not self.doubted(seen) and self.open_to(seen, task))
         found = next(fit, None)
         if found is not None and found.out > 2.0 * self.total / len(self.pool):
             found = next(fit, found)  # over twice the mean is out there: drawn once more
@@ -445,12 +446,11 @@
         if (seen := self.find(task)) is None:
             return PASS  # nothing may be sent to: whoever called knows what is left to do
         hand_off = self.host.hand_off(task, seen.upstream)
-        seen.watch(now := self.host.now)
+        seen.watch(self.host.now)
         hand_off.pull = 1.0 / task.workload.known.usual  # the answers due of it in a nanosecond
         seen.pull += hand_off.pull
         seen.out, self.total, self.owed = seen.out + 1, self.total + 1, self.owed + self.TRIALS
-        seen.sends.add(now)
-        self.went.add(now)
+        seen.turn.open = False
         task.workload.known.out += 1
         self.choice.again.sent(hand_off)
         return KEEP
--- a/whinpier/config/platform.py
+++ b/whinpier/config/platform.py
@@ -81,9 +81,11 @@
         checked(found, f"workloads.{index}.payoff", float, 1.0, 0)
         checked(found, f"workloads.{index}.window", int, 0, 0)
     for key, least in {"balancers": 1, "slot_no": 0, "zone": 0, "limits.max_hand_offs": 1, "rules.cold": 0,
-                       "limits.connect_timeout": 1, "limits.keepalive": 1, "rules.ask_within": 1}.items():
+                       "limits.connect_timeout": 1, "limits.keepalive": 1, "rules.ask_within": 1,
+                       "rules.fall": 1}.items():
         checked(found, key, int, least, least)
-    for key in ("goal.whole", "goal.worst_class", "rules.cold_from", "prices.cross_zone"):
+    for key in ("goal.whole", "goal.worst_class", "rules.cold_from", "rules.fall_multiple",
+                "prices.cross_zone"):
         checked(found, key, float, 0.0, 0)
     for key in ("limits.cancelling", "limits.second_copies", "limits.peers", "limits.probes",
                 "limits.retry_after"):
--- a/whinpier/model.py
+++ b/whinpier/model.py
@@ -54,7 +54,7 @@
     size: float = 1.0
     shape: int = 0
     seen: Any = None  # what the decisions have observed of it
-    sends: Any = None  # the sum of what goes to it, where other pools of this process send to it too
+    turn: Any = None  # when it is due a request while cold, where other pools of this process list it too
     spare: float = inf  # how many more it may be sent just now, by limits beside the decisions' own
 
 
--- a/whinpier/observed.py
+++ b/whinpier/observed.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from whinpier.decay import SECOND, Sum
+from whinpier.decay import SECOND, Sum, Turn
 from whinpier.model import Upstream, Workload
 
-WINDOW = 5 * SECOND  # over which sends to a cold upstream are bounded: one a second is a fine grain in it
-
 
 class Known:
     """What this balancer has observed of one workload."""
@@ -20,14 +18,15 @@
 class Seen:
     """What this balancer has observed of one upstream."""
 
-    def __init__(self, upstream: Upstream, now: int, span: int) -> None:
+    def __init__(self, upstream: Upstream, now: int, span: int, wait: int) -> None:
         self.upstream = upstream
         self.due, self.answers = Sum(span, now), Sum(span, now)
-        self.sends = upstream.sends or Sum(WINDOW, now)
+        self.turn = upstream.turn or Turn(now + wait)
         self.out, self.pull, self.silence, self.missing, self.at, self.heard = 0, 0.0, 0.0, 0.0, now, now
         self.share, self.part, self.room, self.shut_until = 0.0, 1.0, 1.0, 0
         # Of its load reports. Room for two at first crowds not even a single core (2, 2.5 and 3 were alike).
         self.wide, self.told, self.held, self.probed, self.mute = 2.0, now, 0.0, 0, 0
+        self.cold = False  # not warm yet, at the last solve
         self.given: float | None = None  # its rate, smoothed as its latency is
 
     def watch(self, now: int) -> None:
--- a/whinpier/runtime/life.py
+++ b/whinpier/runtime/life.py
@@ -18,8 +18,7 @@
 import anyio
 
 from whinpier import log
-from whinpier.decay import SECOND, Sum
-from whinpier.observed import WINDOW
+from whinpier.decay import SECOND, Turn
 from whinpier.runtime.budget import Budget, Part, spare
 from whinpier.runtime.loop import MS, Loop
 from whinpier.runtime.pool import Peer, Pool, Taken, Watch
@@ -84,7 +83,7 @@
         self.budget = Budget(spec.sockets, spec.memory, spec.isolate, spare(spec))
         self.loop = Loop(self.budget.judge)
         self.ids: dict[bytes | int, Taken] = {}  # of tasks till the end of their patience, answered or not
-        self.cold: dict[tuple[Address, int], Sum] = {}  # what goes to an upstream from all pools, by its run
+        self.cold: dict[tuple[Address, int], Turn] = {}  # when a run of an upstream is due one, of all pools
         self.stopping, self.closing, self.stop_by = False, False, 0
         self.aside = False  # its front is to send nobody, though it serves who comes
         self.stopped, self.collect_from = 0, 0
@@ -114,12 +113,12 @@
     def watch(self, pool: Pool) -> Watch | None:
         return self.wire.watch(pool) if pool.spec.discovery else None
 
-    def shared(self, entry: Entry) -> Sum | None:
-        """What is sent to one run of an upstream, counted over all pools that list its address."""
+    def shared(self, entry: Entry) -> Turn | None:
+        """When one run of an upstream is due a request while it is cold, for all pools that list it."""
         # Guards against two pools that each keep a cold upstream's bound, and together push it over.
         if not self.spec.routed:
             return None
-        return self.cold.setdefault((entry.dial, entry.started), Sum(WINDOW, self.loop.clock()))
+        return self.cold.setdefault((entry.dial, entry.started), Turn(self.loop.clock()))
 
     def since(self, dial: Address) -> int:
         """Since when an upstream that a file newly names counts as started: now, or as another pool says."""
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -476,7 +476,7 @@
                     entry = replace(entry, started=self.house.since(entry.dial))
                 peer = self.house.peer(self, entry, hashed(entry.host.encode()))
                 self.rested.discard(entry.host)  # another run, of which nothing is known
-                peer.sends = self.house.shared(entry)
+                peer.turn = self.house.shared(entry)
                 if self.met:
                     self.met(peer)
             peer.listed_as, peer.cell, peer.size = entry.state, entry.cell, entry.size
