--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -55,7 +55,7 @@
 class Stage:
     """One balancer, and all that it meets."""
 
-    def __init__(self, count, **limits):
+    def __init__(self, count, sockets=1024, **limits):
         self.upstreams = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
         self.nobody = socket.create_server(("127.0.0.1", 0))  # where discovery is asked, and says nothing
         self.listener = socket.create_server(("127.0.0.1", 0))
@@ -68,6 +68,7 @@
         self.given = json.loads(json.dumps(GIVEN)) | {
             "listen": "%s:%d" % self.listener.getsockname(), "discovery": "%s:%d" % self.nobody.getsockname(),
             "known": {"seq": 1, "whole": True, "hosts": hosts}}
+        self.given["limits"]["sockets"] = sockets
         self.given["settings"]["limits"] |= limits
         spec = self.spec()
         self.life = Life(spec, Http1(), lambda: spec, kept_till_restart)
@@ -238,6 +239,96 @@
         assert stage.begun() == 0 and stage.pool.part.requests.used == 0
 
 
+async def test_who_leaves_while_held_for_room_is_not_sent_when_there_is():
+    async with staged() as stage:
+        server = stage.pool.held["s-0"]
+        server.spare = 0  # no room, as a limit at the upstream has it
+        client = stage.client(request())
+        await stage.until(lambda: stage.pool.choice.entry.waiting())
+        client.close()
+        server.spare = 10
+        stage.pool.loop.enter(stage.pool, stage.pool.choice.entry.release)  # before its leaving is read
+        await stage.until(lambda: stage.pool.counts["clients_left"] == 1)
+        await stage.turns()
+        assert stage.begun() == 0 and stage.pool.choice.split.total == 0
+
+
+# Told to stop.
+
+async def ended(stage):
+    with anyio.fail_after(LIMIT):
+        while not stage.life.loop.tasks.cancel_scope.cancel_called:
+            await anyio.sleep(0.01)
+
+
+async def test_told_to_stop_twice_and_to_reload_between_it_answers_what_is_out_half_read_and_behind():
+    async with staged() as stage:
+        out, half = stage.client(request() + request()), stage.client(request()[:-1])
+        upstream, _ = await stage.met()
+        await stage.until(lambda: len([client for client in stage.door.clients if client.reading]) == 1)
+        stage.life.stop()
+        await stage.turns()
+        await stage.life.configure()
+        stage.life.stop()
+        upstream.sendall(GOOD)
+        assert (await stage.read(out, b"done")).startswith(b"HTTP/1.1 200")
+        await stage.read(upstream, b"{}")  # the one behind it goes on too
+        half.sendall(b"}")
+        other, _ = await stage.met()
+        for sock in (upstream, other):
+            sock.sendall(GOOD)
+        for sock in (out, half):
+            assert (await stage.read(sock, b"done")).startswith(b"HTTP/1.1 200")
+            sock.close()
+        await ended(stage)
+
+
+async def test_who_goes_on_sending_to_the_end_is_refused_cleanly_and_nothing_is_sent_on():
+    async with staged() as stage:
+        client = stage.client(request())
+        upstream, _ = await stage.met()
+        upstream.sendall(GOOD)
+        await stage.read(client, b"done")
+        stage.life.closing = True
+        client.sendall(request() + request())  # the second is read behind the last answer
+        answer = await stage.read(client, b"never")
+        assert answer.startswith(b"HTTP/1.1 503") and answer.count(b"HTTP/1.1") == 1
+        assert b"connection: close" in answer
+        client.sendall(request())
+        await stage.turns()
+        assert stage.begun() == 1
+
+
+async def test_an_upstream_that_hangs_through_the_end_leaves_nobody_without_an_answer():
+    async with staged() as stage:
+        client = stage.client(request(remaining=30))
+        await stage.met()
+        stage.life.stop()
+        await stage.turns()
+        stage.life.stop_by = stage.life.loop.clock() + SECOND // 5  # soon
+        for task in list(stage.life.ids.values()):
+            stage.pool.shorten(task, stage.life.stop_by)
+        assert (await stage.read(client, b"\n")).startswith(b"HTTP/1.1 502")
+        client.close()
+        await ended(stage)
+
+
+# Descriptors.
+
+async def test_idle_clients_that_fill_the_descriptors_leave_room_for_discovery_and_for_who_asks():
+    async with staged(sockets=64) as stage:
+        idle = [stage.client() for _ in range(80)]
+        await stage.until(lambda: len(stage.door.clients) >= stage.life.budget.most_clients)
+        for _ in range(2):  # it is asked again, though it says nothing
+            with anyio.fail_after(LIMIT):
+                await anyio.wait_readable(stage.nobody)
+                stage.sockets.append(stage.nobody.accept()[0])
+        idle[-1].sendall(request())
+        upstream, _ = await stage.met()
+        upstream.sendall(GOOD)
+        assert (await stage.read(idle[-1], b"done")).startswith(b"HTTP/1.1 200")
+
+
 # Closing.
 
 async def test_who_sends_too_much_ahead_is_answered_what_is_owed_before_the_connection_ends():
@@ -311,6 +402,42 @@
         await stage.until(lambda: not stage.door.owes())
 
 
+# Answers that break off.
+
+@pytest.mark.parametrize("how", [socket.socket.close, reset])
+@pytest.mark.parametrize("part", [b"", b"HTTP/1.1 2", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+                                  b"HTTP/1.1 200 OK\r\n\r\nwithout a length",
+                                  b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"])
+async def test_what_breaks_off_is_no_answer_and_a_non_idempotent_request_is_not_sent_again(part, how):
+    async with staged(2) as stage:
+        client = stage.client(request())
+        await stage.until(lambda: stage.begun() == 1)
+        at = next(number for number, peer in enumerate(stage.pool.held.values()) if peer.out())
+        upstream, _ = await stage.met(at)
+        upstream.sendall(part)
+        await stage.turns()
+        how(upstream)
+        answer = await stage.read(client, b"fulfilled\n")
+        assert answer.startswith(b"HTTP/1.1 502") and b"half" not in answer and stage.begun() == 1
+
+
+@pytest.mark.parametrize("how", [socket.socket.close, reset])
+async def test_a_connection_closed_as_it_is_to_be_used_carries_nothing_and_the_request_goes_on_another(how):
+    async with staged() as stage:
+        client, upstream, _ = await rested(stage)
+        server = stage.pool.held["s-0"]
+        with anyio.fail_after(LIMIT):
+            while not server.idle:
+                await anyio.sleep(0.001)
+        how(upstream)  # not read yet as the request is
+        client.sendall(request())
+        next(iter(stage.door.clients)).came()
+        anew, _ = await stage.met()
+        anew.sendall(GOOD)
+        assert (await stage.read(client, b"done")).startswith(b"HTTP/1.1 200")
+        assert stage.begun() == 2 and stage.pool.counts["came_back_reset"] == 0
+
+
 # A second answer.
 
 @pytest.mark.parametrize("second", [GOOD.replace(b"done", b"evil"), b"HTTP/1.1 2"])
