--- a/whinpier/choice.py
+++ b/whinpier/choice.py
@@ -412,7 +412,7 @@
             return True
         # Guards against a cold one that all balancers push over together, each by rounding up: it is due its
         # part by age of what a warm one answers; more, by what it bears, only where tasks wait for room.
-        part = age * self.usual * (self.bears / 2 if self.choice.entry.waiting() else 1.0)
+        part = age * self.usual * (0.8 * self.bears if self.choice.entry.waiting() else 1.0)
         return seen.turn.due(now, self.fall, part, self.random)
 
     def find(self, task: Task) -> Seen | None:
