What a member says of its demand is heard in the order said, however datagrams pass each other

Line: Members.learn took what is said from any fresh datagram. No number is missing: each datagram has one. Change: what is said by a datagram that another of its sender has overtaken is left out, and counted (said_overtaken); it is said again in any case.

--- a/tests/test_bank.py
+++ b/tests/test_bank.py
@@ -194,6 +194,24 @@
     assert bank.counts["member_suspect"] > 20 and not bank.counts["member_lost"] and found["breaches"] == []
 
 
+def test_what_a_member_says_of_its_demand_is_not_undone_by_an_older_word_that_comes_later():
+    one, other = members("a", 7001), members("b", 7002, [("127.0.0.1", 7001)])
+    for step in range(20):
+        for member in (one, other):
+            member.tick(step * SECOND // 10)
+        pass_on(one, other, now=step * SECOND // 10)
+    sent = []
+    for said in (b"first", b"second"):
+        other.carry(POOL, said)
+        other.tell_all_now(2 * SECOND)
+        sent.append(next(data for address, data in other.take()[0] if address[1] == 7001))
+    one.take()
+    for data in reversed(sent):  # the first is overtaken on the way
+        one.receive(data, other.card.address, 2 * SECOND)
+    assert [contents for _, mark, contents in one.take()[2] if mark == POOL] == [b"second"]
+    assert one.members[other.card.id].said[POOL] == b"second"
+
+
 def test_whoever_suspects_tells_the_suspect_so_at_once_and_hears_it_refute():
     """Of two hundred few have just heard a suspect: by chance and news it heard of it late, or not at all."""
     one, other = members("a", 7001), members("b", 7002, [("127.0.0.1", 7001)])
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -250,12 +250,11 @@
     assert given_ <= amount * 1.0001 and (given_ >= min(amount, sum(demands)) * 0.9999)
 
 
-@settings(max_examples=30, deadline=None, derandomize=True)
-@given(st.integers(0, 10**6), st.integers(2, 6))
-def test_while_words_come_in_time_parts_add_up_to_no_more_however_demand_moves(seed, count):
+def moving(seed, count, in_order):
+    """Words on their way while demand moves; in order, as members keep them, or as the network has them."""
     chance, limit = Random(seed), Limit("x", RATE, 100_000, (), 20)
     those = [Nearly(limit, None, 0) for _ in range(count)]
-    on_way, settled = [], 3 * aged(count)
+    on_way, settled, newest = [], 3 * aged(count), {}
     for step in range(400):
         now = step * SECOND // 10
         if step % 20 == 0:
@@ -269,12 +268,27 @@
                 for other in heard:
                     # Any time before it is stale; words may pass each other.
                     late = int(chance.random() * (aged(count) - SECOND // 4))
-                    on_way.append((now + late, other, place, one.word(now)))
-        for _, other, place, word in [one for one in on_way if one[0] <= now]:
-            those[other].hear(place, word, now)
+                    on_way.append((now + late, other, place, one.word(now), now))
+        for _, other, place, word, told in [one for one in on_way if one[0] <= now]:
+            if not in_order or told >= newest.get((place, other), 0):
+                newest[place, other] = told
+                those[other].hear(place, word, now)
         on_way = [one for one in on_way if one[0] > now]
         if now > settled:
-            assert sum(one.part for one in those) <= limit.amount + count
+            assert sum(one.part for one in those) <= limit.amount + count, seed
+
+
+@settings(max_examples=30, deadline=None, derandomize=True)
+@given(st.integers(0, 10**6), st.integers(2, 6))
+def test_while_words_come_in_time_parts_add_up_to_no_more_however_demand_moves(seed, count):
+    moving(seed, count, False)
+
+
+@pytest.mark.parametrize("first", range(0, 60, 20))
+def test_parts_add_up_to_no_more_on_many_days_as_members_pass_words_on(first):
+    """Words that overtook each other broke this on 11 of 300 seeds, on 8715 by 12%."""
+    for seed in (*range(first, first + 20), 8715):
+        moving(seed, 2 + seed % 5 if seed < 8715 else 2, True)
 
 
 def test_one_that_asks_for_all_gets_nearly_all_and_unheard_ones_keep_an_even_share():
--- a/whinpier/bank/members.py
+++ b/whinpier/bank/members.py
@@ -653,6 +653,10 @@
         self.heard_talks += [(sender.id, talk) for talk in datagram.talks]
         for entry in datagram.entries:
             self.register.take(entry, self.now)
+        if datagram.count < sender.high:
+            # Guards against an older demand that stands in for a newer one, as datagrams pass each other.
+            self.counts["said_overtaken"] += len(datagram.said)
+            return
         for mark, contents in datagram.said:
             if sender.said.get(mark) is not None or len(sender.said) < forms.MOST_POOLS:
                 sender.said[mark] = contents
