Review: a script that errs or takes too long ends with 2, not with 1

Cause: an error of a script that was not foreseen ended it with Python's 1, which says that the rule was broken; the time limit ended what was started, but not always the script.

--- a/review/common.py
+++ b/review/common.py
@@ -19,6 +19,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -131,7 +132,16 @@
     record = Record(path)
     record.write(f"case {here.name}: {name}; TROUBLE={int(TROUBLE)}")
     stop: list = []
-    timer = threading.Timer(limit, lambda: [end() for end in stop] or os._exit(COULD_NOT_RUN))
+
+    def give_up() -> None:
+        record.write(f"COULD NOT RUN: not done after {limit:.0f} s")
+        try:
+            for end in stop:
+                end()
+        finally:
+            os._exit(COULD_NOT_RUN)
+
+    timer = threading.Timer(limit, give_up)
     timer.daemon = True
     timer.start()
     try:
@@ -141,9 +151,11 @@
             finally:
                 for end in stop:
                     end()
-    except CannotRun as why:
-        record.write(f"COULD NOT RUN: {why}")
-        print(f"case {here.name}: could not run: {why}")
+    except Exception as why:  # CannotRun, or a fault of the script: neither speaks of the rule
+        if not isinstance(why, CannotRun):
+            traceback.print_exc()
+        record.write(f"COULD NOT RUN: {why!r}")
+        print(f"case {here.name}: could not run: {why!r}")
         sys.stdout.flush()
         os._exit(COULD_NOT_RUN)
     for text in breaks:
