Review: case 2 restarts ten balancers, each once, a tenth at a time

Clients sent again after 1 s, sooner than RFC 5080 has it. Change: ten balancers, one after the other, each restarted once; clients send again after 2, 4 and 8 s more; SIGKILL would come after 3.75 s.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,6 @@
-"""Planned restarts of a balancer that takes RADIUS records, with the state file that
-docs/operate/radius.md recommends. Clients send each record again until it is answered.
+"""Planned restarts of a small fleet that takes RADIUS records, one balancer after another and each
+once, with the state file that docs/operate/radius.md recommends. Clients send each record again
+until it is answered.
 """
 
 from __future__ import annotations
@@ -21,18 +22,19 @@
 )
 
 RECORD = Path(__file__).resolve().parent / "record.txt"
-CLIENTS = ("127.0.0.31", "127.0.0.32", "127.0.0.33")
-RATE = 80.0  # records a second of each client
-RESTARTS = tuple(3.0 + 3.0 * n for n in range(10))  # seconds after the first record
-SECONDS = 33.0
+BALANCERS = 10  # one of them at a time is restarted: a tenth
+CLIENTS = ("127.0.0.31", "127.0.0.32", "127.0.0.33")  # of each balancer
+RATE = 80.0  # records a second of each client, 240 for a balancer
+TURN = 2.5  # seconds from one balancer's restart to the next one's
+BEFORE, AFTER = 1.5, 2.5  # seconds that a balancer gets records before and after its SIGTERM
 WORK = 0.002  # seconds that a server takes for a record
-WAITS = [1.0, 2.0, 4.0, 8.0]  # of a client, between its sends: 15 s in all, half of `kept`
-SIGKILL_AFTER = 6.0  # the pages: no sooner than the longest patience, here 3 s, and 0.7 s more
+WAITS = [2.0, 4.0, 8.0]  # of a client, between its sends, as RFC 5080 has them
+SIGKILL_AFTER = 3.75  # the pages: no sooner than the longest patience, here 3 s, and 0.7 s more
 SECRET, SERVER_SECRET = b"only-for-a-trial-too", b"only-for-a-trial"
 
 FILE = """
 version = 1
-name = "b1"
+name = "{name}"
 listen = ["127.0.0.1:{http}"]
 
 [pools.roaming]
@@ -65,52 +67,79 @@
 """
 
 
-def play(record, folder, stop):
-    servers = [RadiusServer(f"acct-{n}", SERVER_SECRET, WORK, record) for n in (1, 2)]
-    stop += [server.close for server in servers]
-    http, radius = free_port(), free_port(socket.SOCK_DGRAM)
-    path = folder / "operator.toml"
-    path.write_text(
-        FILE.format(
-            http=http,
-            radius=radius,
-            acct1=servers[0].port,
-            acct2=servers[1].port,
-            secret=SECRET.decode(),
-            server_secret=SERVER_SECRET.decode(),
-            state=folder / "radius.state",
+class Member:
+    """One balancer of the fleet, its clients, and its restart."""
+
+    def __init__(self, number: int, servers, record, folder: Path, stop: list) -> None:
+        self.name = f"b{number + 1}"
+        http, radius = free_port(), free_port(socket.SOCK_DGRAM)
+        own = folder / self.name
+        own.mkdir()
+        path = own / "operator.toml"
+        path.write_text(
+            FILE.format(
+                name=self.name,
+                http=http,
+                radius=radius,
+                acct1=servers[0].port,
+                acct2=servers[1].port,
+                secret=SECRET.decode(),
+                server_secret=SERVER_SECRET.decode(),
+                state=own / "radius.state",
+            )
         )
-    )
-    balancer = Balancer(record, {"BALANCER_OPERATOR": str(path), "TMPDIR": str(folder)}, http)
-    stop.append(balancer.stop)
-    balancer.start()
-    clients = [RadiusClient(address, radius, SECRET, WAITS, record) for address in CLIENTS]
-    stop += [client.close for client in clients]
-    began, sent, restarts = time.monotonic(), 0, list(RESTARTS if TROUBLE else ())
-    terminated = 0.0
-    while (passed := time.monotonic() - began) < SECONDS:
-        if terminated:
+        environment = {"BALANCER_OPERATOR": str(path), "TMPDIR": str(own)}
+        self.balancer = Balancer(record, environment, http)
+        stop.append(self.balancer.stop)
+        self.balancer.start(ready=False)
+        self.clients = [RadiusClient(address, radius, SECRET, WAITS, record) for address in CLIENTS]
+        stop += [client.close for client in self.clients]
+        self.begins = number * TURN
+        self.restart_at = self.begins + BEFORE if TROUBLE else float("inf")
+        self.ends = self.begins + BEFORE + AFTER
+        self.sent = 0
+        self.terminated = 0.0
+
+    def step(self, passed: float) -> None:
+        """What is due for this balancer by now."""
+        balancer = self.balancer
+        if self.terminated:
             assert balancer.process is not None
-            late = time.monotonic() - terminated > SIGKILL_AFTER
+            late = time.monotonic() - self.terminated > SIGKILL_AFTER
             if balancer.process.poll() is not None or late:
-                if balancer.wait_ended(0.01 if late else 1.0) != 0:
-                    raise CannotRun(f"the balancer did not end in order: {balancer.log()[-1500:]}")
-                terminated = 0.0
+                if (code := balancer.wait_ended(0.01 if late else 1.0)) != 0:
+                    raise CannotRun(f"{self.name} ended with {code}: {balancer.log()[-1500:]}")
+                self.terminated = 0.0
                 balancer.start(ready=False)
-        elif restarts and passed >= restarts[0]:
-            restarts.pop(0)
-            terminated = time.monotonic()
+        elif passed >= self.restart_at:
+            self.restart_at = float("inf")
+            self.terminated = time.monotonic()
+            balancer.record.write(f"{self.name} is told to end")
             balancer.signal(signal.SIGTERM)
-        if passed * RATE * len(clients) >= sent:
-            client = clients[sent % len(clients)]
-            client.send_new(f"{client.address}-{sent}", int(time.time()))
-            sent += 1
+        due = (min(passed, self.ends) - self.begins) * RATE * len(self.clients)
+        while due > self.sent:
+            client = self.clients[self.sent % len(self.clients)]
+            client.send_new(f"{self.name}-{self.sent}", int(time.time()))
+            self.sent += 1
+
+
+def play(record, folder, stop):
+    servers = [RadiusServer(f"acct-{n}", SERVER_SECRET, WORK, record) for n in (1, 2)]
+    stop += [server.close for server in servers]
+    fleet = [Member(number, servers, record, folder, stop) for number in range(BALANCERS)]
+    for member in fleet:
+        member.balancer.wait_ready()
+    began = time.monotonic()
+    while (passed := time.monotonic() - began) < fleet[-1].ends:
+        for member in fleet:
+            member.step(passed)
         time.sleep(0.001)
-    if terminated:
-        raise CannotRun("the last restart came too late")
+    if any(member.terminated for member in fleet):
+        raise CannotRun("a restart came too late")
     time.sleep(sum(WAITS) + 1.0)
-    balancer.wait_ready()
-    records = [one for client in clients for one in client.records]
+    for member in fleet:
+        member.balancer.wait_ready()
+    records = [one for member in fleet for client in member.clients for one in client.records]
     ran = Counter(session for server in servers for session, _ in server.ran)
     answered = sum(one.answered_at is not None for one in records)
     unanswered = [one for one in records if one.answered_at is None]
