Forward a request whose query has escaped octets beyond ASCII

Callers saw: a request with such a query (obj=Gas%C3%B3leo) was read and not forwarded, and its connection ended with no answer; so did its second try on a new connection.

Cause: to find the key, create_request gave the query's bytes to parse_qs, which decodes all values to text and encodes them back as ASCII: UnicodeEncodeError for any other character. The trace of event=connection_task_failed names the line. query_parameter reads octets by way of Latin-1 instead, which has a character for each (RFC 3986, 2.1: an escape stands for an octet).

Keys in ASCII hash as before.

--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -12,13 +12,17 @@
 import socket
 from http import HTTPStatus
 from typing import TYPE_CHECKING
-from urllib.parse import parse_qs
 
 import h11
 
 from whinpier import log
 from whinpier.http import buffers
-from whinpier.http.platform_routes import RequestError, RouteTarget, check_request
+from whinpier.http.platform_routes import (
+    RequestError,
+    RouteTarget,
+    check_request,
+    query_parameter,
+)
 from whinpier.http.upstream_connection import (
     BODILESS_STATUSES,
     MAX_REQUEST_BODY_BYTES,
@@ -340,9 +344,7 @@
         arrived_at = self.loop.clock()
         deadline = frontend.process.deadline(arrived_at, timeout)
         request = HttpRequest(self, request_class, arrived_at, deadline, client_id)
-        query = self.target.partition(b"?")[2]
-        key = parse_qs(query).get(fields.query_key, [b""])[0] if query else b""
-        key = key or headers.get(fields.key, b"")
+        key = query_parameter(self.target, fields.query_key) or headers.get(fields.key, b"")
         request.key = stable_hash(key) if key else 0
         request.tenant = target.pool.tenants.get(headers.get(fields.tenant, b""), 0)
         request.repeat = headers.get(fields.repeat) == b"1"
--- a/whinpier/http/platform_routes.py
+++ b/whinpier/http/platform_routes.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from typing import Protocol
+from urllib.parse import parse_qs
 
 from whinpier.config.model import Fields
 from whinpier.policy.model import Effect, RequestClass
@@ -94,3 +95,16 @@
         or (method == b"GET" and body_size)
     ):
         raise RequestError(400, "the lane's requests look otherwise")
+
+
+def query_parameter(target: bytes, name: bytes) -> bytes:
+    """Return the first value of a query parameter with its escapes decoded; empty without one.
+
+    An escape stands for an octet, in no particular character encoding (RFC 3986, section 2.1).
+    """
+    query = target.partition(b"?")[2]
+    if not query:
+        return b""
+    # Latin-1 maps each octet to a character and back.
+    values = parse_qs(query.decode("latin-1"), encoding="latin-1").get(name.decode("latin-1"))
+    return values[0].encode("latin-1") if values else b""
