Answer a request that was read also after an exception of the balancer's own

Callers saw, wherever our code raised between a request that was read and its answer: the connection ended with no answer; behind a request in flight nothing at all; nothing for ever where an upstream's response could not be written or an observer of finished requests failed.

Cause: exceptions were caught where the process is protected, not where an answer is owed; the pool had marked the request as ended before its response was written. Now respond_to_error answers 500 and ends the connection, Pool.respond answers 502, Pool.finish goes on to the response, and ensure_answered fails the request before it reports the invariant.

Evidence: the tests that put an exception at each of these places, alone, pipelined and in chunks, fail before and pass now, but for the one in a decision, which failed in debug mode only. tests/http and tests/runtime: 220 passed.

--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -193,8 +193,8 @@
             self.find_route()
             self.append_body(body)
             self.handle_request()
-        except RequestError as error:
-            self.reject_request(error)
+        except Exception as error:
+            self.respond_to_error(error)
         return True
 
     def find_route(self) -> None:
@@ -260,10 +260,8 @@
                         go_on = h11.InformationalResponse(status_code=100, headers=[])
                         self.enqueue(self.parser.send(go_on) or b"")
                     return
-        except RequestError as error:
-            self.reject_request(error)
-        except h11.RemoteProtocolError as error:
-            self.reject_request(RequestError(error.error_status_hint, str(error)))
+        except Exception as error:
+            self.respond_to_error(error)
 
     def start_request(self, request: h11.Request) -> None:
         """Check and route a request whose head h11 has parsed."""
@@ -350,6 +348,21 @@
         request.repeat = headers.get(fields.repeat) == b"1"
         return request
 
+    def respond_to_error(self, error: Exception) -> None:
+        """Respond to a request that failed before the pool accepted it; call this in the handler.
+
+        A request that was read is owed a response even where the balancer itself is at fault.
+        """
+        if isinstance(error, RequestError):
+            self.reject_request(error)
+        elif isinstance(error, h11.RemoteProtocolError):
+            self.reject_request(RequestError(error.error_status_hint, str(error)))
+        else:
+            log.exception("connection_task_failed")
+            if self.request is None and not self.closed:  # else the pool responds
+                self.receiving = False
+                self.send_response(500, b"internal error\n", close=True)
+
     def reject_request(self, error: RequestError) -> None:
         """Respond to an invalid request, and close the connection where the error says so."""
         log.warning("bad_request", status=error.status, why=error)
--- a/whinpier/runtime/event_loop.py
+++ b/whinpier/runtime/event_loop.py
@@ -81,7 +81,7 @@
             self.running = False
 
     def on_call_failed(self, call: Callable[..., None]) -> None:
-        """Log an exception; the request that caused it is answered at its deadline."""
+        """Log an exception of a call; a request that it leaves open is answered at its deadline."""
         log.exception("policy_call_failed", call=getattr(call, "__name__", call))
 
     def call_at(self, at: int, host: TimerHost, call: Callable[..., None], *args: Any) -> None:
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -447,12 +447,23 @@
         )
         if request.ended or not request.is_awaited():
             return False
-        self.end_request(request)
         self.counts[how] += 1
-        if self.on_request_finished:
-            self.on_request_finished(request, how)
+        try:
+            self.end_request(request)
+            if self.on_request_finished:
+                self.on_request_finished(request, how)
+        except Exception:  # the response is owed all the same
+            self.loop.on_call_failed(self.end_request)
         return True
 
+    def respond(self, request: PendingRequest, answer: Any) -> None:
+        """Write an upstream's response; if that can't be done, respond that the request failed."""
+        try:
+            request.respond(answer)
+        except Exception:
+            self.loop.on_call_failed(request.respond)
+            request.respond_failed()
+
     def end_request(self, request: PendingRequest) -> None:
         """Release what a request holds, and drop its unsent attempts."""
         request.ended = True
@@ -479,13 +490,14 @@
     def ensure_answered(self, request: PendingRequest) -> None:
         """Fail a request that the policy has not ended by its deadline, and forget it."""
         # Even after an exception in the policy, a request has its response in time.
-        if not request.ended:
-            log.invariant(False, "the policy ends each request by its deadline")
+        ended_by_policy = request.ended
+        if not ended_by_policy:
             self.fail(request)
         # Requests and attempts refer to each other: without this they would pile up until a full
         # garbage collection, which stops the loop for long.
         request.attempts.clear()
         self.context.ids.pop(request.client_id or request.id, None)
+        log.invariant(ended_by_policy, "the policy ends each request by its deadline")
 
     def shorten_deadline(self, request: PendingRequest, deadline: int) -> None:
         """End a request earlier than its client's deadline, since the process stops then."""
@@ -538,7 +550,7 @@
             )
         first = outcome == Outcome.SUCCEEDED and not request.ended
         if first and self.finish(request, "fulfilled"):
-            request.respond(answer)
+            self.respond(request, answer)
         self.policy.on_attempt_finished(sent, load, first)
 
     def on_client_disconnected(self, request: PendingRequest) -> None:
