Forget a RADIUS record whose way to its pool ended in an exception

Clients saw silence for all tries of such a record within radius.kept, though nothing had run: the memory had taken it as new before the exception, no request stood behind the entry, and every retransmission joined it. on_packet gives the entry up now, so that the next try is new. Over TCP the connection is closed as before.

--- /dev/null
+++ b/tests/radius/test_endings.py
@@ -0,0 +1,179 @@
+"""Tests what becomes of RADIUS records that are on their way when something ends or fails.
+
+The balancer runs in the test's event loop, with plain sockets on both sides, and its writes to the
+state file wait for the test: no order of events is left to time.
+"""
+
+import socket
+import threading
+import tomllib
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from tests.radius.test_radius import SECRET
+from tests.waiting import LIMIT
+from whinpier import log
+from whinpier.__main__ import bind_socket
+from whinpier.config import operator
+from whinpier.radius.transport import WithRadius
+from whinpier.runtime.process import Process
+from whinpier.testbed import files
+from whinpier.testbed.radius import proved, response
+from whinpier.testbed.radius import record as record_packet
+
+pytestmark = [pytest.mark.anyio, pytest.mark.xdist_group("radius")]
+
+SERVER_SECRET = b"server"
+ANY_PORT = ("127.0.0.1", 0)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Disk:
+    """Stands before the append log: each write waits until the test lets it, or fails."""
+
+    def __init__(self, journal):
+        self.append, journal.append = journal.append, self.write
+        self.works = threading.Event()
+        self.works.set()
+        self.error: OSError | None = None
+        self.begun = 0  # writes
+
+    def write(self, data):
+        self.begun += 1
+        assert self.works.wait(LIMIT)
+        if self.error:
+            raise self.error
+        self.append(data)
+
+
+class RadiusHarness:
+    """One balancer with a RADIUS server and clients, all on sockets of the test."""
+
+    def __init__(self, folder, **pool):
+        self.folder = folder
+        self.datagrams = bind_socket(socket.SOCK_DGRAM, ANY_PORT)
+        self.listener = bind_socket(socket.SOCK_STREAM, ANY_PORT)
+        self.http_listener = bind_socket(socket.SOCK_STREAM, ANY_PORT)
+        self.server = bind_socket(socket.SOCK_DGRAM, ANY_PORT)
+        self.sockets = [self.datagrams, self.listener, self.http_listener, self.server]
+        self.tables = files.records(
+            self.address(self.datagrams),
+            {"r0": self.address(self.server)},
+            [SECRET.decode()],
+            streams=[{"listen": self.address(self.listener)}],
+            state={"file": str(folder / "state")},
+            **pool,
+        )
+        self.spec = self.read()
+        self.process = Process(
+            self.spec,
+            WithRadius([self.datagrams], [self.listener]),
+            self.read,
+            operator.changes,
+        )
+        self.frontend = self.process.frontends[1]
+        self.state = self.frontend.state
+        self.disk = Disk(self.state.journal)
+        self.numbers = 0
+
+    @staticmethod
+    def address(sock):
+        return "%s:%d" % sock.getsockname()
+
+    def read(self):
+        table = {"version": 1, "listen": [self.address(self.http_listener)], **self.tables}
+        return operator.made(tomllib.loads(files.document(table)))
+
+    def client(self, over):
+        """Return a new client's socket, connected to the balancer."""
+        kind, listener = {
+            "udp": (socket.SOCK_DGRAM, self.datagrams),
+            "tcp": (socket.SOCK_STREAM, self.listener),
+        }[over]
+        sock = socket.socket(socket.AF_INET, kind)
+        sock.connect(listener.getsockname())
+        sock.setblocking(False)
+        self.sockets.append(sock)
+        return sock
+
+    def send(self, client):
+        """Send a new record, and return its packet."""
+        self.numbers += 1
+        packet = record_packet(self.numbers, SECRET)
+        client.send(packet)
+        return packet
+
+    async def receive(self, sock):
+        with anyio.fail_after(LIMIT):
+            await anyio.wait_readable(sock)
+            return sock.recvfrom(4096)
+
+    async def serve(self):
+        """Answer one packet at the server."""
+        data, source = await self.receive(self.server)
+        self.server.sendto(response(data, SERVER_SECRET, []), source)
+
+    def server_has_nothing(self):
+        try:
+            self.server.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        return False
+
+    async def until(self, condition):
+        with anyio.fail_after(LIMIT):
+            while not condition():
+                await anyio.sleep(0.001)
+
+    async def run_loop(self, count=50):
+        """Run the event loop so often that all that is ready is done."""
+        for _ in range(count):
+            await anyio.sleep(0)
+
+    def has_ended(self):
+        return self.process.loop.task_group.cancel_scope.cancel_called
+
+
+@asynccontextmanager
+async def running(folder, **pool):
+    harness = RadiusHarness(folder, **pool)
+    try:
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(harness.process.serve, [harness.http_listener])
+            await harness.until(harness.process.ready)
+            try:
+                yield harness
+            finally:
+                harness.disk.works.set()
+                task_group.cancel_scope.cancel()
+    finally:
+        for sock in harness.sockets:
+            sock.close()
+
+
+async def test_record_that_met_an_unexpected_error_is_served_when_it_comes_again(
+    tmp_path, monkeypatch
+):
+    """Guards against silence for a record of which nothing but its entry was left."""
+
+    def fail(*_):
+        raise LookupError("for the test")
+
+    async with running(tmp_path) as harness:
+        client = harness.client("udp")
+        with monkeypatch.context() as patch:
+            patch.setattr(harness.frontend.routes, "of", fail)
+            failures = log.counters["connection_task_failed"]
+            packet = harness.send(client)
+            await harness.until(lambda: log.counters["connection_task_failed"] > failures)
+        assert not len(harness.frontend.memory) and harness.server_has_nothing()
+        client.send(packet)
+        await harness.serve()
+        answer, _ = await harness.receive(client)
+        assert proved(answer, packet, SECRET)
--- a/whinpier/radius/server.py
+++ b/whinpier/radius/server.py
@@ -174,7 +174,13 @@
         if met == deduplication.NEW:
             assert entry is not None
             log.counters["radius_requests"] += 1
-            self.enter(way, packet, client, secret, entry)
+            try:
+                self.enter(way, packet, client, secret, entry)
+            except Exception:
+                # No request waits for it: remembered, it would be met with silence.
+                if entry.request is None:
+                    self.memory.given_up(entry)
+                raise
             return
         log.counters["radius_" + met.replace(" ", "_")] += 1
         if entry is None:
