Count a RADIUS record as in flight while it waits for the state file

Clients saw: after a planned restart records that the old process had taken reached no server and were never answered, however often they were sent again.

Cause: with radius.state a record waits for its note to be on the disk before its pool gets it. Until then nothing counted it, so terminate saw nothing in flight and ended the process; State.close then wrote the note, and the next run took the record for one that may have run. The loss grows with radius.state.sync, since that is how long records wait.

Pool.accept is now register, which counts the request and arms its deadline, and start_request, once the note is written. So a shutdown, a reload that removes the pool, and a release of the fleet wait for it. What is not started by its deadline is rejected and given up in memory and file: it never ran, and its next try is new. Requests without a wait take the same steps in the same order as before.

--- a/tests/radius/test_endings.py
+++ b/tests/radius/test_endings.py
@@ -12,12 +12,13 @@
 import anyio
 import pytest
 
-from tests.radius.test_radius import SECRET
+from tests.radius.test_radius import SECRET, reopened
 from tests.waiting import LIMIT
 from whinpier import log
 from whinpier.__main__ import bind_socket
 from whinpier.config import operator
 from whinpier.radius.transport import WithRadius
+from whinpier.runtime import process as process_module
 from whinpier.runtime.process import Process
 from whinpier.testbed import files
 from whinpier.testbed.radius import proved, response
@@ -157,6 +158,70 @@
             sock.close()
 
 
+async def send_while_the_disk_waits(harness, over):
+    """Send a record whose note the disk does not take yet."""
+    client = harness.client(over)
+    harness.disk.works.clear()
+    packet = harness.send(client)
+    await harness.until(lambda: harness.disk.begun)
+    return client, packet
+
+
+@pytest.mark.parametrize("over", ["udp", "tcp"])
+async def test_record_that_waits_for_the_disk_is_served_before_the_process_ends(
+    tmp_path, monkeypatch, over
+):
+    """Guards against an end over records that were taken and whose notes are not written yet."""
+    monkeypatch.setattr(process_module, "ACCEPT_AFTER_SIGTERM", 0)
+    async with running(tmp_path) as harness:
+        client, packet = await send_while_the_disk_waits(harness, over)
+        harness.process.stop()
+        await harness.until(lambda: harness.process.closing)
+        await harness.run_loop()
+        assert not harness.has_ended() and harness.server_has_nothing()
+        harness.disk.works.set()
+        await harness.serve()
+        answer, _ = await harness.receive(client)
+        assert proved(answer, packet, SECRET)
+        await harness.until(harness.has_ended)
+
+
+async def test_record_that_waits_for_the_disk_is_served_by_a_pool_that_a_reload_removes(tmp_path):
+    """Guards against a pool that is removed over records that were taken for it."""
+    async with running(tmp_path) as harness:
+        client, packet = await send_while_the_disk_waits(harness, "udp")
+        harness.tables["pools"] = {"other": harness.tables["pools"]["acct"]}
+        harness.tables["radius"]["routes"] = [{"name": "all", "pool": "other"}]
+        await harness.process.reload()
+        await harness.run_loop()
+        assert harness.process.draining_pools
+        harness.disk.works.set()
+        await harness.serve()
+        answer, _ = await harness.receive(client)
+        assert proved(answer, packet, SECRET)
+        await harness.until(lambda: not harness.process.draining_pools)
+
+
+@pytest.mark.parametrize("fails", [False, True])
+async def test_record_that_the_disk_holds_up_past_its_deadline_is_new_to_the_next_run(
+    tmp_path, monkeypatch, fails
+):
+    """Guards against a record that never went out and is met with silence by the next run."""
+    monkeypatch.setattr(process_module, "ACCEPT_AFTER_SIGTERM", 0)
+    async with running(tmp_path, timeout=0.2, agreed=0.1) as harness:
+        await send_while_the_disk_waits(harness, "udp")
+        if fails:
+            harness.disk.error = OSError(28, "No space left on device")
+            harness.disk.works.set()
+        harness.process.stop()
+        await harness.until(lambda: not harness.process.in_flight())
+        assert not len(harness.frontend.memory)
+        harness.disk.works.set()
+        await harness.until(lambda: harness.state.closed)
+        assert harness.server_has_nothing()
+    assert len(reopened(tmp_path)) == 0
+
+
 async def test_record_that_met_an_unexpected_error_is_served_when_it_comes_again(
     tmp_path, monkeypatch
 ):
--- a/whinpier/radius/server.py
+++ b/whinpier/radius/server.py
@@ -239,10 +239,11 @@
         session = packet.first(wire.SESSION_ID) or b""
         request.key = stable_hash(session) if session else 0
         entry.request = request
+        pool.register(request, pool.granted_permits)
         if self.state:
-            self.state.once_kept(partial(pool.accept, request, pool.granted_permits))
+            self.state.once_kept(partial(pool.start_request, request))
         else:
-            pool.accept(request, pool.granted_permits)
+            pool.start_request(request)
 
     # The one final answer.
 
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -65,10 +65,11 @@
 class PendingRequest(Request):
     """A request whose client waits; each protocol implements how the response is written."""
 
-    __slots__ = ("client_id", "permits", "pool")
+    __slots__ = ("client_id", "permits", "pool", "started")
     client_id: bytes  # the id its client gave it, unique among pending requests; empty if none
     pool: Pool
     permits: tuple[Permit, ...]
+    started: bool  # whether the policy has it
 
     def is_awaited(self) -> bool:
         """Tell whether the client still waits for the response to this request."""
@@ -431,14 +432,28 @@
         return tuple(permits)
 
     def accept(self, request: PendingRequest, permits: tuple[Permit, ...] = ()) -> None:
-        """Take in an admitted request of a client, with its permits."""
+        """Register an admitted request of a client, with its permits, and start it."""
+        self.register(request, permits)
+        self.start_request(request)
+
+    def register(self, request: PendingRequest, permits: tuple[Permit, ...] = ()) -> None:
+        """Take an admitted request: from here on it counts as in flight and is owed a response.
+
+        It is rejected at its deadline, or at the end of the process, unless `start_request` is called.
+        """
         request.permits = permits
+        request.started = False
         self.in_flight += 1
         self.counts["tasks"] += 1
         request.pool = self
         self.context.ids[request.client_id or request.id] = request
         self.loop.call_at(request.deadline, self, self.on_deadline, request)
-        self.loop.dispatch(self, self.policy.on_request, request)
+
+    def start_request(self, request: PendingRequest) -> None:
+        """Pass a registered request to the policy, unless it has ended meanwhile."""
+        if not request.ended:
+            request.started = True
+            self.loop.dispatch(self, self.policy.on_request, request)
 
     def finish(self, request: PendingRequest, how: str) -> bool:
         """End a request as `how`; return whether its final response is to be written now."""
@@ -488,16 +503,18 @@
         self.loop.pending_calls.append((self, self.ensure_answered, (request,)))
 
     def ensure_answered(self, request: PendingRequest) -> None:
-        """Fail a request that the policy has not ended by its deadline, and forget it."""
+        """End a request that is still open at its deadline, and forget it."""
         # Even after an exception in the policy, a request has its response in time.
-        ended_by_policy = request.ended
-        if not ended_by_policy:
+        is_overdue = request.started and not request.ended
+        if is_overdue:
             self.fail(request)
+        elif not request.ended:
+            self.reject(request)  # it never ran
         # Requests and attempts refer to each other: without this they would pile up until a full
         # garbage collection, which stops the loop for long.
         request.attempts.clear()
         self.context.ids.pop(request.client_id or request.id, None)
-        log.invariant(ended_by_policy, "the policy ends each request by its deadline")
+        log.invariant(not is_overdue, "the policy ends each request by its deadline")
 
     def shorten_deadline(self, request: PendingRequest, deadline: int) -> None:
         """End a request earlier than its client's deadline, since the process stops then."""
