Write what a flush took off the queue also where the process ends just then

A flush takes the batch off the queue and then waits for a thread. A cancellation that came between the two raised at that wait, and the batch was in no queue any more that State.close writes. Lost were notes of answers and of records that were turned back, whose tries the next run met with silence, and with first = false notes of records that had gone out, which it could run again. The wait is shielded now.

--- a/tests/radius/test_endings.py
+++ b/tests/radius/test_endings.py
@@ -12,11 +12,13 @@
 import anyio
 import pytest
 
-from tests.radius.test_radius import SECRET, reopened
+from tests.radius.test_radius import SECRET, kept_in, meet, record, reopened
 from tests.waiting import LIMIT
 from whinpier import log
 from whinpier.__main__ import bind_socket
 from whinpier.config import operator
+from whinpier.policy.decaying_sum import SECOND
+from whinpier.radius import deduplication
 from whinpier.radius.transport import WithRadius
 from whinpier.runtime import process as process_module
 from whinpier.runtime.process import Process
@@ -222,6 +224,20 @@
     assert len(reopened(tmp_path)) == 0
 
 
+async def test_what_a_cancelled_flush_took_off_the_queue_is_on_the_disk(tmp_path):
+    """Guards against notes that are lost where the process ends just as they are to be written."""
+    memory, state = kept_in(tmp_path)
+    entry = meet(memory, record())[1]
+    await state.flush()
+    memory.answered(entry, b"answer", SECOND)
+    with anyio.CancelScope() as scope:
+        scope.cancel()
+        await state.flush()
+    state.close()
+    known = meet(reopened(tmp_path), record())
+    assert known[0] == deduplication.AGAIN and known[1].answer == b"answer"
+
+
 async def test_record_that_met_an_unexpected_error_is_served_when_it_comes_again(
     tmp_path, monkeypatch
 ):
--- a/whinpier/radius/response_cache.py
+++ b/whinpier/radius/response_cache.py
@@ -155,7 +155,9 @@
         batch, waiting = self.queue, self.waiting
         self.queue, self.waiting = [], []
         try:
-            await anyio.to_thread.run_sync(self.journal.append, b"".join(batch))
+            # Shielded: a cancellation as the write begins would lose what was taken off the queue.
+            with anyio.CancelScope(shield=True):
+                await anyio.to_thread.run_sync(self.journal.append, b"".join(batch))
         except OSError as fault:
             # Nothing is let go: it stands before what comes, and is tried again.
             self.queue, self.waiting = batch + self.queue, waiting + self.waiting
