Keep a connection after a 500 where the request was read whole

The 500 of an unexpected exception ended the connection, and with it whole requests that had been read behind the one that failed. Where the request itself was read whole, its end is known and what follows can be served; elsewhere the connection ends as before.

--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -361,7 +361,7 @@
             log.exception("connection_task_failed")
             if self.request is None and not self.closed:  # else the pool responds
                 self.receiving = False
-                self.send_response(500, b"internal error\n", close=True)
+                self.send_response(500, b"internal error\n")
 
     def reject_request(self, error: RequestError) -> None:
         """Respond to an invalid request, and close the connection where the error says so."""
