Answer whole requests behind the last response before their connection ends

Clients that had sent requests ahead got, from a stopping process or one short of descriptors, the answer in flight with connection: close; the requests behind had been read whole and were dropped.

Cause: send_response decided to end the connection without a look at what lay behind the request. While a whole request lies behind, the connection stays open for it now: 503 for each while stopping, served while crowded, and the last answer ends the connection. Costs nothing on connections that go on.

A test cuts a request at each byte now.

--- a/tests/http/test_buffers.py
+++ b/tests/http/test_buffers.py
@@ -106,3 +106,13 @@
         except h11.RemoteProtocolError as refused:
             status = refused.error_status_hint
         assert status == expected_status
+
+
+def test_begins_with_whole_request_needs_all_of_one_valid_request():
+    """Guards against a search that does not end without any bytes, which mean an end to h11."""
+    whole = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}"
+    assert buffers.begins_with_whole_request(whole)
+    assert buffers.begins_with_whole_request(whole + b"POST")
+    for cut in range(len(whole)):
+        assert not buffers.begins_with_whole_request(whole[:cut])
+    assert not buffers.begins_with_whole_request(b"no request\r\n\r\n")
--- a/whinpier/http/buffers.py
+++ b/whinpier/http/buffers.py
@@ -142,6 +142,20 @@
         raise h11.RemoteProtocolError("a length and chunks")
 
 
+def begins_with_whole_request(data: bytes) -> bool:
+    """Tell whether received bytes begin with a whole request that can be parsed."""
+    if not data:
+        return False  # for h11 no bytes mean the end of the connection
+    parser = h11.Connection(h11.SERVER)
+    parser.receive_data(data)
+    try:
+        while isinstance(event := parser.next_event(), (h11.Request, h11.Data)):
+            pass
+    except h11.RemoteProtocolError:
+        return False
+    return isinstance(event, h11.EndOfMessage)
+
+
 class Connection:
     """A non-blocking socket, read on events; what it does not take is written later."""
 
--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -384,12 +384,11 @@
         """Write the response to the current request; `close` ends the connection after it."""
         self.request = None
         self.release_body()
-        self.closing = (
-            close
-            or self.pipeline_overflow
-            or self.frontend.closing
-            or self.frontend.is_crowded(self.pool_budget)
-        )
+        pipelined = self.parser.trailing_data[0]
+        self.closing = close or self.pipeline_overflow
+        if self.frontend.closing or self.frontend.is_crowded(self.pool_budget):
+            # A whole request behind this one has been read, and is owed its response first.
+            self.closing = self.closing or not buffers.begins_with_whole_request(pipelined)
         # After a request that is incomplete, or with which the client ends the connection, no
         # further request can follow.
         self.closing = self.closing or not (
@@ -406,7 +405,6 @@
             return
         # h11 only parses here: writing with it costs over twice as much CPU. Since it does not see
         # the response, each request needs a new parser.
-        pipelined = self.parser.trailing_data[0]
         if not self.parsed_simply:
             self.parser = h11.Connection(h11.SERVER)
             if pipelined:
