Know a RADIUS record once whose note is in the state file twice

A compaction takes up what is remembered, also where the note on it is still in the queue, which is written behind. The next run then made two entries of the two notes: the answer went to the second, while a try of the record in other words (another Acct-Delay-Time) found the first and was met with silence for radius.kept. recall leaves what it has met already as it is.

Seen by reading, as one more way in which a next run takes an answered record for one that may have run; the test fails before.

--- a/tests/radius/test_radius.py
+++ b/tests/radius/test_radius.py
@@ -649,6 +649,21 @@
     assert len(reopened(tmp_path)) == 11 and not (tmp_path / "state.new").exists()
 
 
+def test_a_request_whose_note_is_in_the_file_twice_is_answered_in_other_words_too(tmp_path):
+    """Guards against silence for a record that was answered, after a compaction and a restart."""
+    memory, state = kept_in(tmp_path)
+
+    async def story():
+        entry = meet(memory, record())[1]
+        await state.compact(memory)  # with its note still in the queue
+        await state.flush()
+        memory.answered(entry, b"answer", 0)
+
+    anyio.run(story)
+    state.close()
+    assert meet(reopened(tmp_path), record(delay=7))[0] == deduplication.AGAIN
+
+
 # Over sockets.
 
 
--- a/whinpier/radius/deduplication.py
+++ b/whinpier/radius/deduplication.py
@@ -148,7 +148,9 @@
     ) -> None:
         """A request that an earlier run met, whatever room there is: it may have run."""
         part = self.part(client)
-        self.lent += len(part.entries) >= part.guaranteed and key not in part.entries
+        if key in part.entries:
+            return  # a compaction took it up before its own note was written
+        self.lent += len(part.entries) >= part.guaranteed
         self.add(part, key, record, content, now)
 
     def find(self, client: str, key: bytes) -> Entry[T] | None:
