Know a RADIUS record again whatever a reload calls its client's entry

Callers saw: exclusive records that were out when a SIGHUP gave their client an entry of its own ran a second time, as the client sent the same bytes again.

Cause: what is remembered was looked for under the client's present name alone. A packet's key (source, identifier, authenticator) has no name in it and is looked for among all clients now; a record in another packet also under the names that its source had before the reloads of the last twice `kept`, 16 tables at the most. Entries stay in the part that they came by, so that bounds by client are as they were.

Nine cases of the tests (split, merged, renamed, moved, over UDP and TCP, and over a restart) fail before; a change of secrets did not, and stays tested.

--- a/tests/radius/test_endings.py
+++ b/tests/radius/test_endings.py
@@ -4,6 +4,7 @@
 state file wait for the test: no order of events is left to time.
 """
 
+import dataclasses
 import socket
 import threading
 import tomllib
@@ -21,11 +22,12 @@
 from whinpier.config import operator
 from whinpier.policy.decaying_sum import SECOND
 from whinpier.radius import deduplication, response_cache
+from whinpier.radius.server import MAX_REPLACED
 from whinpier.radius.transport import WithRadius
 from whinpier.runtime import process as process_module
 from whinpier.runtime.process import Process
 from whinpier.testbed import files
-from whinpier.testbed.radius import proved, response
+from whinpier.testbed.radius import attributes, proved, request_packet, response
 from whinpier.testbed.radius import record as record_packet
 
 pytestmark = [pytest.mark.anyio, pytest.mark.xdist_group("radius")]
@@ -310,3 +312,85 @@
         stream.transport = SimpleNamespace(get_write_buffer_size=lambda: 1)
         assert harness.frontend.has_pending_responses()
         stream.transport = transport
+
+
+# A reload changes the entries of clients.
+
+ADDRESS, ANY = "127.0.0.1/32", "127.0.0.0/8"
+SECRETS = [SECRET.decode()]
+
+
+def entry(network, secrets=SECRETS):
+    return {"networks": [network], "secrets": secrets}
+
+
+def in_other_words(packet_number, delay):
+    """Return a later try of a record, whose Acct-Delay-Time makes it another packet."""
+    pairs = attributes(record_packet(packet_number, SECRET))
+    plain = [
+        (kind, value) for kind, value in pairs if kind != deduplication.wire.MESSAGE_AUTHENTICATOR
+    ]
+    return request_packet(200 + delay, [*plain, (41, delay.to_bytes(4, "big"))], SECRET)
+
+
+RELOADS = {
+    "split": ({"all": entry(ANY)}, {"all": entry(ANY), "one": entry(ADDRESS)}),
+    "merged": ({"all": entry(ANY), "one": entry(ADDRESS)}, {"all": entry(ANY)}),
+    "renamed": ({"old": entry(ANY)}, {"new": entry(ANY)}),
+    "moved": (
+        {"a": entry(ADDRESS), "b": entry("127.0.0.2/32")},
+        {"a": entry("127.0.0.2/32"), "b": entry(ADDRESS)},
+    ),
+    "secret": ({"all": entry(ANY)}, {"all": entry(ANY, ["other", *SECRETS])}),
+}
+
+
+@pytest.mark.parametrize("over", ["udp", "tcp"])
+@pytest.mark.parametrize("how", RELOADS)
+async def test_record_that_is_out_runs_once_whatever_a_reload_calls_its_client(tmp_path, how, over):
+    """Guards against a second run of a record whose client's entry a reload has changed."""
+    before, after = RELOADS[how]
+    async with running(tmp_path, clients=before, timeout=8.0) as harness:
+        client = harness.client(over)
+        packet = harness.send(client)
+        data, source = await harness.receive(harness.server)
+        harness.tables["radius"]["clients"] = after
+        await harness.process.reload()
+        requests = log.counters["radius_requests"]
+        if over == "tcp":
+            client = harness.client(over)  # a connection is the space of its identifiers
+        tries = [packet, in_other_words(harness.numbers, 5)]
+        joined = log.counters["radius_joins"]
+        for data_again in tries:
+            client.send(data_again)
+        await harness.until(lambda: log.counters["radius_joins"] == joined + 2)
+        harness.server.sendto(response(data, SERVER_SECRET, []), source)
+        await harness.until(lambda: not harness.process.in_flight())
+        answered = log.counters["radius_answered_again"]
+        for data_again in tries:
+            client.send(data_again)
+        await harness.until(lambda: log.counters["radius_answered_again"] == answered + 2)
+        assert log.counters["radius_requests"] == requests and harness.server_has_nothing()
+
+
+async def test_former_entries_of_clients_are_forgotten_and_bounded(tmp_path):
+    """Guards against tables that pile up with each reload."""
+    async with running(tmp_path, clients=RELOADS["split"][0]) as harness:
+        for number in range(2 * MAX_REPLACED):
+            harness.tables["radius"]["clients"] = {f"name-{number}": entry(ANY)}
+            await harness.process.reload()
+        assert len(harness.frontend.replaced) == MAX_REPLACED
+        harness.frontend.replaced = [
+            dataclasses.replace(table, until=0) for table in harness.frontend.replaced
+        ]
+        harness.send(harness.client("udp"))
+        await harness.serve()
+        assert not harness.frontend.replaced
+
+
+def test_a_packet_that_an_earlier_run_met_is_known_under_another_name_of_its_client(tmp_path):
+    """Guards against a second run after a restart by a file that names a client otherwise."""
+    memory, state = kept_in(tmp_path)
+    meet(memory, record())
+    state.close()
+    assert meet(reopened(tmp_path), record(), name="other")[0] == deduplication.JOINS
--- a/whinpier/radius/deduplication.py
+++ b/whinpier/radius/deduplication.py
@@ -88,6 +88,8 @@
         self, kept: int = 30 * SECOND, most: int = 65_536, clients: Iterable[str] = ()
     ) -> None:
         self.parts: dict[str, Part[T]] = {}
+        # Of all clients: a source may belong to another client after a reload.
+        self.entries: dict[bytes, Entry[T]] = {}
         self.note: Callable[[str, str, Entry[Any]], None] = lambda kind, client, entry: None
         self.change(kept, most, {name: kept for name in clients})
 
@@ -110,17 +112,24 @@
         self.lent = sum(max(0, len(part.entries) - part.guaranteed) for part in self.parts.values())
 
     def meet(
-        self, client: str, key: bytes, record: bytes | None, content: bytes, now: int
+        self,
+        client: str,
+        key: bytes,
+        record: bytes | None,
+        content: bytes,
+        now: int,
+        earlier: Iterable[tuple[str, bytes]] = (),
     ) -> tuple[str, Entry[T] | None]:
-        """A request has come: whether it is new, joins one that is out, or is answered as it was before."""
+        """A request has come: whether it is new, joins one that is out, or is answered as it was before.
+
+        `earlier` has the names of clients that its source belonged to before a reload, each with
+        the record's key under it.
+        """
         part = self.part(client)
         self.forget_of(part, now, AT_ONCE)
-        entry = part.entries.get(key)
-        if entry is None and record is not None and (known := part.records.get(record)) is not None:
-            # Guards against two records that look alike to the key: a difference in content makes
-            # them two.
-            if known.content == content:
-                entry = known
+        entry = self.entries.get(key)
+        if entry is None and record is not None:
+            entry = self.find_record([(client, record), *earlier], content)
         if entry is not None:
             return (AGAIN, entry) if entry.answer is not None else (JOINS, entry)
         if len(part.entries) >= part.guaranteed:
@@ -131,14 +140,27 @@
         self.note("n", client, entry)
         return NEW, entry
 
+    def find_record(self, records: Iterable[tuple[str, bytes]], content: bytes) -> Entry[T] | None:
+        """Return the entry of a record by the names of its client, the present one first."""
+        for client, record in records:
+            part = self.parts.get(client)
+            known = part.records.get(record) if part else None
+            # Guards against two records that look alike to the key: a difference in content makes
+            # them two.
+            if known is not None and known.content == content:
+                return known
+        return None
+
     def part(self, client: str) -> Part[T]:
         if client not in self.parts:
             self.parts[client] = Part(client, self.kept)
         return self.parts[client]
 
-    @staticmethod
-    def add(part: Part[T], key: bytes, record: bytes | None, content: bytes, now: int) -> Entry[T]:
+    def add(
+        self, part: Part[T], key: bytes, record: bytes | None, content: bytes, now: int
+    ) -> Entry[T]:
         entry = part.entries[key] = Entry(part, key, record, content, now + part.kept)
+        self.entries[key] = entry
         if record is not None:
             part.records.setdefault(record, entry)
         return entry
@@ -178,6 +200,8 @@
         """A request ended without an answer, and never ran: its next try may be taken as new."""
         part = entry.part
         if part.entries.pop(entry.key, None) is not None:
+            if self.entries.get(entry.key) is entry:
+                del self.entries[entry.key]
             self.lent -= len(part.entries) >= part.guaranteed
             self.note("g", part.name, entry)
         if entry.record is not None and part.records.get(entry.record) is entry:
--- a/whinpier/radius/server.py
+++ b/whinpier/radius/server.py
@@ -11,6 +11,7 @@
 import asyncio
 import socket
 from contextlib import suppress
+from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,16 @@
     from whinpier.runtime.process import Process
 
 STRANGERS = 200  # packets a second from unknown addresses that are counted one by one
+MAX_REPLACED = 16  # tables of clients that reloads replaced; each is looked at for every new record
+
+
+@dataclass(frozen=True)
+class ReplacedClients:
+    """The clients of a former configuration, while records may be remembered under their names."""
+
+    until: int  # nanoseconds
+    clients: Clients
+    named: dict[str, ClientSpec]
 
 
 class RadiusRequest(Record):
@@ -91,7 +102,8 @@
         self.now = self.loop.clock()
         self.memory: deduplication.Memory[RadiusRequest] = deduplication.Memory()
         self.streams = Streams(self, listeners)
-        self.follow(spec)
+        self.replaced: list[ReplacedClients] = []  # the oldest first
+        self.use(spec)
         self.state = State(spec.state, self.loop.clock) if spec.state else None
         if self.state:
             self.state.open(self.memory)
@@ -99,6 +111,17 @@
 
     def follow(self, spec: RadiusSpec) -> None:
         """Go on by another configuration: secrets, clients, routes; what is out and remembered stays."""
+        if spec.clients != self.spec.clients:
+            # Of a record that is out at this moment its client may send again for the time that
+            # it is kept after its end.
+            kept = max(client.kept or self.spec.kept for client in self.spec.clients)
+            until = self.loop.clock() + 2 * kept
+            self.replaced.append(ReplacedClients(until, self.clients, self.named))
+            del self.replaced[:-MAX_REPLACED]
+        self.use(spec)
+
+    def use(self, spec: RadiusSpec) -> None:
+        """Take over a configuration."""
         self.spec, self.clients, self.routes = spec, Clients(spec.clients), Routes(spec.routes)
         self.named = {name: client for client in spec.clients for name in client.names}
         self.streams.follow(spec.contexts)
@@ -106,6 +129,18 @@
             spec.kept, spec.most, {one.name: one.kept or spec.kept for one in spec.clients}
         )
 
+    def earlier_records(
+        self, way: Way, packet: Packet, client: ClientSpec
+    ) -> list[tuple[str, bytes]]:
+        """Return each client that the source was before a reload, with the record's key under it."""
+        now = self.loop.clock()
+        self.replaced = [table for table in self.replaced if table.until > now]
+        owners = (way.client_in(table.clients, table.named) for table in reversed(self.replaced))
+        names = dict.fromkeys(owner.name for owner in owners if owner)
+        names.pop(client.name, None)
+        keys = ((name, deduplication.record_key(packet, name)) for name in names)
+        return [(name, key) for name, key in keys if key is not None]
+
     def start(self, listeners: list[socket.socket]) -> None:
         for sock in self.sockets:
             with suppress(OSError):
@@ -168,8 +203,9 @@
         wire.check_record(packet)
         key = deduplication.wire_key(way.source, packet)
         record = deduplication.record_key(packet, client.name) if self.spec.records else None
+        earlier = self.earlier_records(way, packet, client) if record and self.replaced else ()
         met, entry = self.memory.meet(
-            client.name, key, record, deduplication.content(packet), self.loop.clock()
+            client.name, key, record, deduplication.content(packet), self.loop.clock(), earlier
         )
         if met == deduplication.NEW:
             assert entry is not None
--- a/whinpier/radius/stream_server.py
+++ b/whinpier/radius/stream_server.py
@@ -26,6 +26,7 @@
 from whinpier.radius.packet import BadPacket
 
 if TYPE_CHECKING:
+    from whinpier.radius.client_table import Clients
     from whinpier.radius.server import Frontend
     from whinpier.radius.spec import ClientSpec
 
@@ -45,6 +46,9 @@
     def send(self, data: bytes) -> bool:
         """Whether it went as far as can be told."""
 
+    def client_in(self, clients: Clients, named: dict[str, ClientSpec]) -> ClientSpec | None:
+        """Return the client that it comes from, by tables of addresses and of certificates' names."""
+
 
 class Datagrams:
     """Over UDP."""
@@ -68,6 +72,10 @@
         except OSError:
             return False
 
+    def client_in(self, clients: Clients, named: dict[str, ClientSpec]) -> ClientSpec | None:
+        """Return the client of the source's address."""
+        return clients.of(self.source[0])
+
 
 class Splitter:
     """Packets out of a stream, by the length that each states. Free of I/O."""
@@ -106,6 +114,7 @@
         # two.
         self.source: deduplication.Source = (f"{address}/{number}", port)
         self.secrets: tuple[bytes, ...] = ()
+        self.names: list[str] = []  # of its certificate
         self.signed = False
         self.client: ClientSpec | None = None
         self.splitter, self.waiting = Splitter(), deque[bytes]()
@@ -116,19 +125,16 @@
         self.transport.set_write_buffer_limits(UNREAD)
         if self.context:
             given = transport.get_extra_info("peercert") or {}
-            names = [
+            self.names = [
                 name.lower()
                 for kind, name in given.get("subjectAltName", ())
                 if kind in ("DNS", "URI")
             ]
-            self.client = next(
-                (found for name in names if (found := self.front.named.get(name))), None
-            )
             self.secrets = RADSEC
-            whose = ",".join(names) or "a certificate without names"
+            whose = ",".join(self.names) or "a certificate without names"
         else:
-            self.client = self.front.clients.of(self.address)
             whose = self.address
+        self.client = self.client_in(self.front.clients, self.front.named)
         if self.client is None:
             log.counters["radius_unknown_client"] += 1
             log.warning_uncounted("radius_unknown_client", source=self.address, names=whose)
@@ -138,6 +144,12 @@
             self.secrets, self.signed = self.client.secrets, self.client.signed
         log.counters["radius_connections"] += 1
 
+    def client_in(self, clients: Clients, named: dict[str, ClientSpec]) -> ClientSpec | None:
+        """Return the client of the certificate's names over TLS, else of the peer's address."""
+        if self.context is None:
+            return clients.of(self.address)
+        return next((found for name in self.names if (found := named.get(name))), None)
+
     def data_received(self, data: bytes) -> None:
         if self.closed or self.client is None:
             return
