Test a kill -9 and the next run by what was noted, not by what time allowed

- It wanted over 40 of 60 answers 0.3 s after the second burst.
- Its server forgot packets and took 20 ms in the mean by an exponential draw, so that some took longer than the balancer's own retransmission (100 ms) and ran that copy: "run twice" with a sound balancer.

In its place: 45 records are answered and their notes seen on the disk; of up to 25 more some are out at the kill, which the server's ledger says. After the next run: each of the 45 was answered again, none of the 70 ran twice, all that was out met silence, and the counters account for all 70. The server knows copies of a packet; a second run comes in another packet and counts. The damaged file is as before.

--- a/tests/radius/test_radius.py
+++ b/tests/radius/test_radius.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import re
 import time
 import tomllib
 from collections import Counter, OrderedDict
@@ -24,7 +25,7 @@
 from whinpier.config import fields, operator
 from whinpier.config.model import ConfigFault
 from whinpier.policy.decaying_sum import SECOND
-from whinpier.radius import deduplication
+from whinpier.radius import deduplication, response_cache
 from whinpier.radius import packet as wire
 from whinpier.radius.client_table import Clients, Routes
 from whinpier.radius.identifiers import EACH, Idents
@@ -783,22 +784,49 @@
     play(tmp_path, [Behaviour(delay=0.001, forgets=True)], story, most=256, kept="30s")
 
 
+def answers_noted(state):
+    """Count the answers that a state file holds."""
+    notes = read_records("f", state.read_bytes(), MAGIC)
+    return sum(note[0] == response_cache.ANSWERED for _, note in notes)
+
+
+def counted(text, name):
+    """Return a counter of the line by which a process says that it has stopped."""
+    [line] = [line for line in text.splitlines() if "event=stopped " in line]
+    found = re.search(rf" {name}=([0-9]+)", line)
+    return int(found[1]) if found else 0
+
+
 def test_after_kill_9_the_next_run_repeats_nothing_and_a_damaged_file_starts_nothing(tmp_path):
     async def story(servers, balancer, address, other):
         burst = Burst(address, SECRET)
-        packets = [record_packet(number, SECRET) for number in range(60)]
-        await burst.send(packets, 600.0)
-        await asyncio.to_thread(balancer.stop, False)  # with some still out
+        packets = [record_packet(number, SECRET) for number in range(70)]
+        for number in range(45):  # one by one: a new server is not trusted with all at once
+            await burst.send(packets[number : number + 1], 600.0, number)
+            await asyncio.to_thread(until, lambda: len(burst.answers) > number)
+        await asyncio.to_thread(until, lambda: answers_noted(tmp_path / "state") == 45)
+        servers[0].behaviour = Behaviour(silent=1.0)
+        await burst.send(packets[45:60], 600.0, 45)
+        await asyncio.to_thread(until, lambda: len(ran(servers)) > 45)
+        await burst.send(packets[60:], 10_000.0, 60)
+        await asyncio.to_thread(balancer.stop, False)  # with these anywhere, and some out
+        out = len(ran(servers)) - 45
+        servers[0].behaviour = Behaviour(delay=0.02)
         again = Balancer(
             tmp_path / "again", operator=balancer.file.read_text(), listen=balancer.listen
         )
         await asyncio.to_thread(again.wait_ready)
         await burst.send(packets, 600.0)
-        await anyio.sleep(0.3)
-        assert max(ran(servers).values()) == 1 and len(burst.answers) > 40
-        burst.close()
+        await asyncio.to_thread(
+            until, lambda: sum(len(burst.answers[number]) == 2 for number in range(45)) == 45
+        )
         await asyncio.to_thread(again.stop)
+        burst.close()
+        assert max(ran(servers).values()) == 1
         assert again.process.returncode == 0 and "event=radius_cache_loaded " in again.log()
+        assert counted(again.log(), "radius_answered_again") == 45
+        silent, new = (counted(again.log(), f"radius_{name}") for name in ("joins", "requests"))
+        assert silent >= out > 0 and silent + new == 25
         state = tmp_path / "state"
         data = bytearray(state.read_bytes())
         data[200] ^= 1
@@ -811,7 +839,7 @@
 
     play(
         tmp_path,
-        [Behaviour(delay=0.02, forgets=True)],
+        [Behaviour(delay=0.02)],
         story,
         state={"file": str(tmp_path / "state")},
     )
