Ignore a response by which a voter has more entries than its leader

A sound voter of this term has no more than its leader, so that such a response is wrong; it is ignored now before anything is taken from it. The new test gives a leader such responses, and fails before. What the check is for is that nothing is taken of one that large: the chunks are the same before and after. As strict: before it did not look after the message.

--- a/tests/fleet/test_consensus.py
+++ b/tests/fleet/test_consensus.py
@@ -317,6 +317,32 @@
     assert len(leader.pending_reads) <= raft.MAX_PENDING_READS
 
 
+def test_response_with_more_entries_than_the_leader_has_is_ignored():
+    """Guards against a leader that looks behind the end of its log for what to send next."""
+    cluster = Cluster()
+    cluster.run(2.0)
+    leader = cluster.leader
+    voter = next(name for name in leader.config if name != leader.name)
+    before = dict(leader.match_index), dict(leader.next_index), leader.commit_index
+    for durable, matched in ((3, 0), (0, 3), (1, 1)):
+        leader.on_append_response(
+            ConsensusMessage(
+                raft.APPEND_RESPONSE,
+                leader.cluster_id,
+                leader.config[voter],
+                leader.term,
+                1,
+                leader.last_index + durable,
+                leader.last_index + matched,
+            ),
+            voter,
+        )
+    assert (leader.match_index, leader.next_index, leader.commit_index) == before
+    leader.propose(COMMAND, b"x")
+    cluster.run(1.0)
+    assert all(node.commit_index == leader.last_index for node in cluster.nodes.values())
+
+
 def test_learners_cannot_overload_the_member_they_fetch_from():
     cluster = Cluster()
     cluster.run(2.0)
@@ -371,9 +397,10 @@
                 PRE_VOTE_REQUEST,
                 *[getattr(message, key) for key in ConsensusMessage.__struct_fields__[1:]],
             )
-        if message.kind == INSTALL_SNAPSHOT and message.arg3 > 2**22:
-            assert not node.snapshot_chunks
+        chunks = dict(node.snapshot_chunks)
         node.receive(message, "m1", cluster.now)
+        if message.kind == INSTALL_SNAPSHOT and message.arg3 > 2**22:
+            assert node.snapshot_chunks == chunks  # nothing is taken of a snapshot that large
         node.next_deadline()
         data = Seal((b"0123456789abcdef",)).seal(Datagram(6, 1, 1, consensus_messages=[message]))
         assert Seal((b"0123456789abcdef",)).open(data).consensus_messages == [message]
--- a/whinpier/fleet/consensus/node.py
+++ b/whinpier/fleet/consensus/node.py
@@ -710,10 +710,12 @@
             or not self.is_from_voter(message, sender)
         ):
             return
+        is_success = message.arg1
+        if is_success and max(message.arg2, message.arg3) > self.last_index:
+            return  # no voter that follows this leader has more entries than it
         self.last_response_at[sender] = self.now
         self.acked_rounds[sender] = max(self.acked_rounds.get(sender, 0), message.arg4)
         self.in_flight_since.pop(sender, None)
-        is_success = message.arg1
         if is_success:
             self.match_index[sender] = max(self.match_index.get(sender, 0), message.arg2)
             self.next_index[sender] = max(self.next_index.get(sender, 1), message.arg3 + 1)
