Decide in one expression whether a client's connection ends with its response

Cause: the condition had grown into two assignments and a branch, asked is_crowded and parsed what lies behind also where the connection ends anyway. Behaviour is the same.

--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -385,10 +385,12 @@
         self.request = None
         self.release_body()
         pipelined = self.parser.trailing_data[0]
-        self.closing = close or self.pipeline_overflow
-        if self.frontend.closing or self.frontend.is_crowded(self.pool_budget):
-            # A whole request behind this one has been read, and is owed its response first.
-            self.closing = self.closing or not buffers.begins_with_whole_request(pipelined)
+        # A whole request behind this one has been read, and is owed its response first.
+        self.closing = (
+            close
+            or self.pipeline_overflow
+            or (self.is_unwanted() and not buffers.begins_with_whole_request(pipelined))
+        )
         # After a request that is incomplete, or with which the client ends the connection, no
         # further request can follow.
         self.closing = self.closing or not (
@@ -414,6 +416,10 @@
             # Dispatched, since a response may be written in the middle of a policy decision.
             self.loop.dispatch(self.loop, self.process_requests)
 
+    def is_unwanted(self) -> bool:
+        """Tell whether the connection should not be kept, as the process stops or is crowded."""
+        return self.frontend.closing or self.frontend.is_crowded(self.pool_budget)
+
     def release_body(self) -> None:
         """Drop the request's body and release its bytes."""
         if self.body_budget:
