Share what tests need that run a balancer in their own event loop

Cause: the harness for RADIUS wrote again what the one for HTTP had: waiting for a condition, running the loop, serving until the test's end, seeing the process end; the choice of asyncio stood in four files, the failing stub in two.

--- a/tests/http/test_endings.py
+++ b/tests/http/test_endings.py
@@ -16,6 +16,7 @@
 import pytest
 
 from tests.fake_host import MS, FakeHost
+from tests.harness import ProcessHarness
 from tests.waiting import LIMIT
 from whinpier.config.model import kept_till_restart
 from whinpier.config.platform import read
@@ -35,11 +36,6 @@
 pytestmark = [pytest.mark.anyio, pytest.mark.xdist_group("sockets")]
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def request(lane="charge", remaining=2.0, key=""):
     """Return the bytes of a request: `charge` is non-idempotent, `settle` keyed."""
     key = f"Idempotency-Key: {key or next(ids)}\r\n" if lane == "settle" else ""
@@ -54,7 +50,7 @@
     sock.close()
 
 
-class Harness:
+class Harness(ProcessHarness):
     """One balancer with its upstreams, clients and discovery, all on sockets of the test."""
 
     def __init__(self, count, sockets=1024, **limits):
@@ -133,16 +129,6 @@
                     break
         return data
 
-    async def until(self, condition):
-        with anyio.fail_after(LIMIT):
-            while not condition():
-                await anyio.sleep(0)
-
-    async def run_loop(self, count=50):
-        """Run the event loop so often that all that is ready is done."""
-        for _ in range(count):
-            await anyio.sleep(0)
-
     def attempts_started(self):
         """Return how many attempts have been started."""
         return self.pool.counts["attempts"]
@@ -152,15 +138,9 @@
 async def running_harness(count=1, **limits):
     harness = Harness(count, **limits)
     harness.pool.counts.clear()
-    try:
-        async with anyio.create_task_group() as task_group:
-            task_group.start_soon(harness.process.serve, [harness.listener])
-            await harness.run_loop()
-            yield harness
-            task_group.cancel_scope.cancel()
-    finally:
-        for sock in harness.sockets:
-            sock.close()
+    async with harness.serving(harness.listener):
+        await harness.run_loop()
+        yield harness
 
 
 # The client disconnects.
@@ -283,12 +263,6 @@
 # Stopping.
 
 
-async def wait_for_exit(harness):
-    with anyio.fail_after(LIMIT):
-        while not harness.process.loop.task_group.cancel_scope.cancel_called:
-            await anyio.sleep(0.01)
-
-
 async def test_pending_partial_and_pipelined_requests_are_served_after_stop_reload_stop():
     async with running_harness() as harness:
         pending_client, partial_client = (
@@ -313,7 +287,7 @@
         for sock in (pending_client, partial_client):
             assert (await harness.read(sock, b"done")).startswith(b"HTTP/1.1 200")
             sock.close()
-        await wait_for_exit(harness)
+        await harness.until(harness.has_ended)
 
 
 async def test_requests_behind_the_last_response_are_rejected_while_stopping():
@@ -380,7 +354,7 @@
             harness.pool.shorten_deadline(pending, harness.process.stop_deadline)
         assert (await harness.read(client, b"\n")).startswith(b"HTTP/1.1 502")
         client.close()
-        await wait_for_exit(harness)
+        await harness.until(harness.has_ended)
 
 
 # Descriptors.
--- a/tests/http/test_unexpected_errors.py
+++ b/tests/http/test_unexpected_errors.py
@@ -5,31 +5,21 @@
 
 import pytest
 
+from tests.harness import fail
 from tests.http.test_endings import OK_RESPONSE, request, running_harness
 from whinpier import log
 from whinpier.http.client_connection import ClientConnection, HttpRequest
 
 pytestmark = [pytest.mark.anyio, pytest.mark.xdist_group("sockets")]
 
-
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def chunked(data):
     """Return the request in a form that only h11 parses."""
     return data.replace(b"Content-Length: 2\r\n\r\n{}", CHUNKED)
 
 
-def fail(*_):
-    """Fail as code with a fault does."""
-    raise LookupError("for the test")
-
-
 async def answer_attempt(harness):
     """Answer one request at the one upstream, and return what was read of it."""
     upstream, read = await harness.accept_attempt()
--- a/tests/radius/test_endings.py
+++ b/tests/radius/test_endings.py
@@ -15,6 +15,7 @@
 import anyio
 import pytest
 
+from tests.harness import ProcessHarness, fail
 from tests.radius.test_radius import SECRET, kept_in, meet, record, reopened
 from tests.waiting import LIMIT
 from whinpier import log
@@ -36,11 +37,6 @@
 ANY_PORT = ("127.0.0.1", 0)
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class Disk:
     """Stands before the append log: each write waits until the test lets it, or fails."""
 
@@ -59,7 +55,7 @@
         self.append(data)
 
 
-class RadiusHarness:
+class RadiusHarness(ProcessHarness):
     """One balancer with a RADIUS server and clients, all on sockets of the test."""
 
     def __init__(self, folder, **pool):
@@ -121,10 +117,12 @@
             await anyio.wait_readable(sock)
             return sock.recvfrom(4096)
 
-    async def serve(self):
-        """Answer one packet at the server."""
+    async def serve(self, client, packet):
+        """Answer one packet at the server, and see its client get a proved answer."""
         data, source = await self.receive(self.server)
         self.server.sendto(response(data, SERVER_SECRET, []), source)
+        answer, _ = await self.receive(client)
+        assert proved(answer, packet, SECRET)
 
     def server_has_nothing(self):
         try:
@@ -133,35 +131,16 @@
             return True
         return False
 
-    async def until(self, condition):
-        with anyio.fail_after(LIMIT):
-            while not condition():
-                await anyio.sleep(0.001)
-
-    async def run_loop(self, count=50):
-        """Run the event loop so often that all that is ready is done."""
-        for _ in range(count):
-            await anyio.sleep(0)
-
-    def has_ended(self):
-        return self.process.loop.task_group.cancel_scope.cancel_called
-
 
 @asynccontextmanager
 async def running(folder, **pool):
     harness = RadiusHarness(folder, **pool)
-    try:
-        async with anyio.create_task_group() as task_group:
-            task_group.start_soon(harness.process.serve, [harness.http_listener])
-            await harness.until(harness.process.ready)
-            try:
-                yield harness
-            finally:
-                harness.disk.works.set()
-                task_group.cancel_scope.cancel()
-    finally:
-        for sock in harness.sockets:
-            sock.close()
+    async with harness.serving(harness.http_listener):
+        await harness.until(harness.process.ready)
+        try:
+            yield harness
+        finally:
+            harness.disk.works.set()
 
 
 async def send_while_the_disk_waits(harness, over):
@@ -198,9 +177,7 @@
         await harness.run_loop()
         assert not harness.has_ended() and harness.server_has_nothing()
         harness.disk.works.set()
-        await harness.serve()
-        answer, _ = await harness.receive(client)
-        assert proved(answer, packet, SECRET)
+        await harness.serve(client, packet)
         await harness.until(harness.has_ended)
 
 
@@ -214,9 +191,7 @@
         await harness.run_loop()
         assert harness.process.draining_pools
         harness.disk.works.set()
-        await harness.serve()
-        answer, _ = await harness.receive(client)
-        assert proved(answer, packet, SECRET)
+        await harness.serve(client, packet)
         await harness.until(lambda: not harness.process.draining_pools)
 
 
@@ -282,10 +257,6 @@
     tmp_path, monkeypatch
 ):
     """Guards against silence for a record of which nothing but its entry was left."""
-
-    def fail(*_):
-        raise LookupError("for the test")
-
     async with running(tmp_path) as harness:
         client = harness.client("udp")
         with monkeypatch.context() as patch:
@@ -295,9 +266,7 @@
             await harness.until(lambda: log.counters["connection_task_failed"] > failures)
         assert not len(harness.frontend.memory) and harness.server_has_nothing()
         client.send(packet)
-        await harness.serve()
-        answer, _ = await harness.receive(client)
-        assert proved(answer, packet, SECRET)
+        await harness.serve(client, packet)
 
 
 async def test_answer_that_a_connection_has_not_taken_counts_as_pending(tmp_path):
@@ -383,8 +352,8 @@
         harness.frontend.replaced = [
             dataclasses.replace(table, until=0) for table in harness.frontend.replaced
         ]
-        harness.send(harness.client("udp"))
-        await harness.serve()
+        client = harness.client("udp")
+        await harness.serve(client, harness.send(client))
         assert not harness.frontend.replaced
 
 
--- a/tests/test_kept_http.py
+++ b/tests/test_kept_http.py
@@ -27,11 +27,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 # What the tests know of the code.
 
 
