RADIUS: an exclusive record is not sent again to the next run of its server

Cause: a packet was sent again by its timer alone. A server knows it again only as long as its process lives, and neither a refusal of the port nor a new start in the list ended the retransmissions.

Change: a run of a server ends where its port refuses on any socket, a list or file tells another start, or a list drops it. What is out there, in every pool that has the server, then waits for its answer; records that may run twice go on being sent. Refusals that the loop has not read are read before a packet goes out again. It works because every repeat passes this check, and nothing else sends a packet a second time. Without a sign packets are sent again as before. The socket's error queue names the datagram that was refused: a record of which no datagram was delivered goes to another server, so that the closed port costs no record its answer.

--- a/whinpier/radius/client.py
+++ b/whinpier/radius/client.py
@@ -1,9 +1,9 @@
 """Owns the way to RADIUS servers: sockets, identifiers, retransmissions, and which answer is one.
 
-An attempt is one packet, sent again unchanged to the same server until it is answered or given up
-(RFC 2866, section 2): servers know it again. A datagram that was sent may have run, whatever comes
-back. Must never take for an answer what is not proved by the server's secret, or what answers
-another packet.
+An attempt is one packet, sent again unchanged to the same run of a server until it is answered or
+given up (RFC 2866, section 2): that run knows it again, a later one does not. A datagram that was
+sent may have run, unless the server's host says that it refused this one. Must never take for an
+answer what is not proved by the server's secret, or what answers another packet.
 """
 
 from __future__ import annotations
@@ -16,10 +16,12 @@
 from whinpier import log
 from whinpier.config.model import Address, Entry
 from whinpier.policy.decaying_sum import SECOND
-from whinpier.policy.model import Outcome, UpstreamState
+from whinpier.policy.model import Effect, Outcome, UpstreamState
 from whinpier.radius import packet as wire
 from whinpier.radius.identifiers import Idents
 from whinpier.radius.packet import BadPacket, Packet
+from whinpier.radius.refused_datagrams import queue_errors, read_refused
+from whinpier.radius.server_runs import ServerRuns
 from whinpier.radius.spec import ServerSpec
 from whinpier.runtime.pool import Endpoint, PendingRequest, Pool, PoolAttempt
 
@@ -40,23 +42,36 @@
     def __init__(self, request: Record, peer: Server, now: int, slot: tuple[int, int]) -> None:
         super().__init__(request, peer, now)
         self.slot, self.tries = slot, 0
+        self.sent_count = 0  # datagrams that have left
+        self.refused_count = 0  # of these, which the server's host has refused
+        self.run_has_ended = False  # of the process that may have it
         # What it was sent with, whatever becomes of its server's address and secret meanwhile.
         self.asked: Packet
         self.sock: socket.socket
         self.secret, self.data = peer.spec.secret, b""
         self.state = urandom(8)  # its Proxy-State, which nobody else's can be
 
+    def was_all_refused(self) -> bool:
+        """Tell whether datagrams have left, and no process can have got any of them."""
+        return 0 < self.sent_count == self.refused_count
+
 
 class Server(Endpoint):
     """One RADIUS server."""
 
-    def __init__(self, pool: Pool, entry: Entry, number: int, spec: ServerSpec) -> None:
+    def __init__(
+        self, pool: Pool, entry: Entry, number: int, spec: ServerSpec, runs: ServerRuns
+    ) -> None:
         super().__init__(number, entry.state, 0, 0, entry.started)
         self.pool, self.loop, self.host, self.address = pool, pool.loop, entry.host, entry.dial
         self.spec = spec
         self.idents = Idents(spec.sockets, spec.quarantine)
         self.sockets: dict[int, socket.socket] = {}
         self.waiting: dict[tuple[int, int], Sending] = {}
+        self.runs = runs
+        self.was_refused = False  # a datagram, whose error is to be read
+        if entry.started:
+            runs.begin(entry.dial, entry.started)
 
     def start_attempt(self, request: PendingRequest) -> PoolAttempt:
         assert isinstance(request, Record)
@@ -106,6 +121,7 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
             with suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
+            queue_errors(sock)
             # Connected: what comes from another address is dropped by the system.
             sock.connect(self.address)
         except OSError as fault:
@@ -113,7 +129,8 @@
             log.warning("socket_unavailable", fault=fault)
             return False
         self.sockets[number] = sock
-        asyncio.get_running_loop().add_reader(sock, self.came, number)
+        self.runs.add(self.address, self)
+        asyncio.get_running_loop().add_reader(sock, self.on_readable, number)
         return True
 
     def transmit(self, sending: Sending) -> None:
@@ -123,16 +140,11 @@
         moved = self.sockets.get(sending.slot[0]) is not sending.sock
         if moved or self.waiting.get(sending.slot) is not sending:
             return
+        if sending.sent_count and not self.may_repeat(sending):
+            return
         sending.tries += 1
-        try:
-            sending.sock.send(sending.data)
-            log.counters["radius_sent"] += 1
-        except (BlockingIOError, ConnectionRefusedError):
-            log.counters["radius_not_sent"] += (
-                1  # a full buffer, or word of an earlier one: sent again later
-            )
-        except OSError as fault:
-            log.warning("radius_not_sent", upstream=self.host, fault=fault)
+        if not self.send_datagram(sending):
+            return
         if sending.tries <= self.spec.retransmissions:
             # Twice as long each time, and spread a little (RFC 5080, section 2.2.1).
             wait = int(
@@ -142,19 +154,89 @@
             )
             self.loop.call_at(self.loop.clock() + wait, self.loop, self.transmit, sending)
 
-    def came(self, number: int) -> None:
-        for _ in range(AT_ONCE):
+    def may_repeat(self, sending: Sending) -> bool:
+        """Tell whether a packet may be sent again: only the run that may have it knows it again."""
+        # Answers and refusals that the loop has not read yet count too.
+        for number in tuple(self.sockets):
+            self.receive(number)
+        self.read_errors()
+        if self.waiting.get(sending.slot) is not sending:
+            return False
+        if sending.request.request_class.kind == Effect.IDEMPOTENT:
+            return True
+        return not sending.run_has_ended and self.state != UpstreamState.REMOVED
+
+    def send_datagram(self, sending: Sending) -> bool:
+        """Send a packet once; return whether it is to be sent again later."""
+        try:
+            sending.sock.send(sending.data)
+            sending.sent_count += 1
+            log.counters["radius_sent"] += 1
+        except BlockingIOError:
+            log.counters["radius_not_sent"] += 1  # a full buffer
+        except ConnectionRefusedError:
+            # Word of an earlier datagram, in place of which this one was not sent.
+            log.counters["radius_not_sent"] += 1
+            self.was_refused = True
+            self.read_errors()
+            if not sending.sent_count:
+                self.settle_unserved(sending)
+                return False
+        except OSError as fault:
+            log.warning("radius_not_sent", upstream=self.host, fault=fault)
+            self.read_errors()
+        return True
+
+    def read_errors(self) -> None:
+        """End the run if the server's port has refused a datagram on any of the sockets."""
+        is_refused = self.was_refused
+        self.was_refused = False
+        for number, sock in self.sockets.items():
+            for header in read_refused(sock):
+                is_refused = True
+                sending = self.waiting.get((number, header[1])) if len(header) > 1 else None
+                # The authenticator is in it, so that an earlier packet is not taken for this one.
+                if sending and len(header) == wire.LEAST and sending.data.startswith(header):
+                    sending.refused_count += 1
+        if is_refused:
+            log.counters["radius_refused"] += 1
+            self.runs.end(self.address)
+
+    def end_run(self) -> None:
+        """Send nothing again that may be at a process that has ended: the next would run it anew."""
+        for sending in tuple(self.waiting.values()):
+            if sending.was_all_refused():
+                self.settle_unserved(sending)
+            elif sending.sent_count:
+                sending.run_has_ended = True
+
+    def settle_unserved(self, sending: Sending) -> None:
+        """Settle an attempt that reached no process."""
+        self.release(sending, True)
+        self.pool.settle(sending, Outcome.CONNECT_FAILED)
+
+    def on_readable(self, number: int) -> None:
+        """Read what has come on a socket."""
+        # An error is read after the answers: what was answered was not refused.
+        if self.receive(number):
+            self.read_errors()
+
+    def receive(self, number: int) -> bool:
+        """Read the answers on a socket; return whether there may be errors to read."""
+        has_error = False
+        for turn in range(AT_ONCE):
             try:
                 data = self.sockets[number].recv(wire.MOST + 1)
             except BlockingIOError:
-                return
+                return has_error or not turn
+            except ConnectionRefusedError:
+                has_error = self.was_refused = True
+                continue
             except OSError:
-                # Its port is closed, or was a moment ago. What was sent before may have run: it is
-                # silent.
-                log.counters["radius_refused"] += 1
-                return
+                has_error = True  # of the way there, which says nothing of the process
+                continue
             except KeyError:
-                return
+                return has_error
             try:
                 self.answered(number, data)
             except BadPacket as bad:
@@ -162,6 +244,7 @@
                 log.warning_uncounted("radius_bad_answer", upstream=self.host, why=bad)
             except Exception:  # no bytes end the loop
                 log.exception("connection_task_failed")
+        return has_error
 
     def answered(self, number: int, data: bytes) -> None:
         packet = wire.parse(data)
@@ -195,8 +278,8 @@
 
     def set_address(self, dial: Address) -> None:
         if dial != self.address:
-            self.address = dial
             self.close()
+            self.address = dial
 
     def close(self) -> None:
         """Let go of all sockets. What is out on them is not answered any more, and keeps its identifier."""
@@ -205,6 +288,7 @@
             sock.close()
             self.pool.budget.connections.release()
         self.sockets.clear()
+        self.runs.remove(self.address, self)
 
     def drain(self) -> None:
         if not self.waiting:
--- a/whinpier/radius/transport.py
+++ b/whinpier/radius/transport.py
@@ -8,6 +8,7 @@
 from whinpier.http.transport import Http1Transport
 from whinpier.radius.client import Server
 from whinpier.radius.server import Frontend as RadiusFrontend
+from whinpier.radius.server_runs import ServerRuns
 from whinpier.radius.spec import RadiusSpec, ServerSpec
 from whinpier.runtime.pool import Endpoint, Pool
 from whinpier.runtime.process import Frontend, Process
@@ -18,6 +19,7 @@
 
     def __init__(self, sockets: list[socket.socket], listeners: list[socket.socket]) -> None:
         self.sockets, self.listeners = sockets, listeners
+        self.server_runs = ServerRuns()
 
     def create_frontends(self, process: Process) -> list[Frontend]:
         found = super().create_frontends(process)
@@ -41,4 +43,4 @@
         if pool.spec.protocol != "radius":
             return super().create_endpoint(pool, entry, number)
         assert isinstance(pool.spec.server, ServerSpec)
-        return Server(pool, entry, number, pool.spec.server)
+        return Server(pool, entry, number, pool.spec.server, self.server_runs)
