RADIUS: of several records alike in their key each is known again

Cause: the memory had one place for a record key, which leaves out the content. The second record was never entered, and who looked for it found the first, saw another content and took it for new; so it was after a restart too.

Change: a record's place is its key and the hash of its content together. It works since a try of a record has both in common with the first, and no other record of the client has. Notes in the state file always had both, so that files stay as they are; a record still has one entry and one place, so that bounds stay.

--- a/whinpier/radius/deduplication.py
+++ b/whinpier/radius/deduplication.py
@@ -12,7 +12,7 @@
 import hashlib
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from typing import Any, Generic, TypeVar
+from typing import Any, Generic, NamedTuple, TypeVar
 
 from whinpier.policy.decaying_sum import SECOND
 from whinpier.radius import packet as wire
@@ -53,6 +53,13 @@
     return hashlib.blake2b(text, digest_size=16).digest()
 
 
+class RecordIdentity(NamedTuple):
+    """What each try of one record has in common, and no other record of its client has."""
+
+    key: bytes  # of `record_key`
+    content: bytes  # of `content`: records alike in their key may differ in what they count
+
+
 class Entry(Generic[T]):
     """A request that was met: who waits for its answer, or the answer that it had."""
 
@@ -66,6 +73,11 @@
         self.request: T | None = None
         self.answer: bytes | None = None
 
+    @property
+    def identity(self) -> RecordIdentity | None:
+        """What the record is known again by; None if it does not say enough for that."""
+        return None if self.record is None else RecordIdentity(self.record, self.content)
+
 
 class Part(Generic[T]):
     """What is remembered of one client, in the order in which its time is over."""
@@ -73,7 +85,7 @@
     def __init__(self, name: str, kept: int) -> None:
         self.name, self.kept, self.guaranteed = name, kept, 0
         self.entries: OrderedDict[bytes, Entry[T]] = OrderedDict()
-        self.records: dict[bytes, Entry[T]] = {}
+        self.records: dict[RecordIdentity, Entry[T]] = {}
 
 
 class Memory(Generic[T]):
@@ -144,10 +156,8 @@
         """Return the entry of a record by the names of its client, the present one first."""
         for client, record in records:
             part = self.parts.get(client)
-            known = part.records.get(record) if part else None
-            # Guards against two records that look alike to the key: a difference in content makes
-            # them two.
-            if known is not None and known.content == content:
+            known = part.records.get(RecordIdentity(record, content)) if part else None
+            if known is not None:
                 return known
         return None
 
@@ -161,8 +171,8 @@
     ) -> Entry[T]:
         entry = part.entries[key] = Entry(part, key, record, content, now + part.kept)
         self.entries[key] = entry
-        if record is not None:
-            part.records.setdefault(record, entry)
+        if identity := entry.identity:
+            part.records.setdefault(identity, entry)
         return entry
 
     def recall(
@@ -204,8 +214,9 @@
                 del self.entries[entry.key]
             self.lent -= len(part.entries) >= part.guaranteed
             self.note("g", part.name, entry)
-        if entry.record is not None and part.records.get(entry.record) is entry:
-            del part.records[entry.record]
+        identity = entry.identity
+        if identity and part.records.get(identity) is entry:
+            del part.records[identity]
 
     def forget(self, now: int, most: int = 4096) -> None:
         """Let go of what is old, so many of each client at once at the most."""
