What a member knows to be agreed outlives its process, and a recovery keeps it

Cause: how far the record is agreed was kept in memory alone. `RaftNode.recover` then cut off what stood behind, on the disk first.

Change: a file `committed` beside the record keeps the last agreed entry, by index and term, and a start counts as agreed what its log has of the same index and term. It works since logs with one such entry in common are the same up to it, whatever of either file is an older copy or cut short; the record keeps its form, so that earlier builds read it. A member confirms a line only once this is on its disk. `recover` keeps the whole log, of which the lost may have agreed on any line. A process whose orders are unknown, or are learned anew after a recovery elsewhere, goes on by those it has, also where the disk is of an earlier build. It is up to date only once it has an entry of its leader's term. `event=agreement` has `committed` beside `lines`.

--- a/tests/fleet/test_consensus_service.py
+++ b/tests/fleet/test_consensus_service.py
@@ -395,3 +395,47 @@
     )
     assert {testbed.status(n)["runs"] for n in range(3)} == {""}
     assert not any(one.unanswered() or one.answered_twice() for one in testbed.loads.results())
+
+
+@pytest.mark.parametrize("has_commit_file", [True, False], ids=["", "data of earlier builds"])
+def test_last_voter_keeps_to_what_was_agreed_through_a_restart_and_a_recovery(
+    start_testbed, tmp_path, has_commit_file
+):
+    """Guards against drains and releases that are forgotten where most voters are lost for good."""
+    testbed = start_testbed(3, wait="1s")
+    file = tmp_path / "new.toml"
+    file.write_text(files.document(testbed.service(connect_timeout="150ms")))
+    testbed.load(6.0, 0, 1, 2)
+    testbed.run_command(1, "release", str(file), "--waves", "1", "--window", "1s")
+    testbed.run_command(1, "drain", "upstream", "t/s-0")
+    until(testbed.has_converged)
+    testbed.loads.results()
+    before = testbed.status(0)
+    met = testbed.upstream_fleet.tell("s-0")["met"]
+    for number in (1, 2):
+        testbed.fleet.kill(number)
+        shutil.rmtree(testbed.fleet.processes[number].folder / "agreed")
+    testbed.fleet.kill(0)
+    if not has_commit_file:
+        (testbed.fleet.processes[0].folder / "agreed" / "committed").unlink()
+    testbed.fleet.processes[0].start()
+    testbed.fleet.processes[0].balancer.wait_ready()
+    alone = testbed.status(0)
+    assert alone["runs"] == before["runs"] != ""
+    if has_commit_file:
+        assert (alone["line"], alone["digest"]) == (before["line"], before["digest"])
+        testbed.load(1.0, 0)
+        assert not any(one.unanswered() for one in testbed.loads.results())
+        assert testbed.upstream_fleet.tell("s-0")["met"] == met
+    testbed.run_command(0, "recover", "--yes")
+    for number in (1, 2):
+        testbed.fleet.processes[number].start()
+    until(lambda: len(testbed.status(0)["voters"]) == 3)
+    for number in (1, 2):
+        testbed.fleet.processes[number].balancer.wait_ready()
+    until(lambda: {testbed.status(number)["runs"] for number in range(3)} == {before["runs"]})
+    met = testbed.upstream_fleet.tell("s-0")["met"]
+    testbed.load(1.0, 0, 1, 2)
+    assert not any(one.unanswered() for one in testbed.loads.results())
+    assert testbed.upstream_fleet.tell("s-0")["met"] == met
+    assert "drain t/s-0" in testbed.run_command(2, "history")
--- a/whinpier/fleet/consensus/node.py
+++ b/whinpier/fleet/consensus/node.py
@@ -202,11 +202,13 @@
         random: Random,
         timing: RaftTiming = DEFAULT_TIMING,
         vote_delay: int = 0,
+        committed_index: int = 0,
     ) -> None:
         """Continue from what is on disk.
 
         `vote_delay`: nanoseconds during which the node neither votes nor stands for election, so
-        that others can tell it first that its disk is an old copy.
+        that others can tell it first that its disk is an old copy. `committed_index`: the last entry
+        that a former run knew to be committed.
         """
         self.name = name
         self.state_machine = state_machine
@@ -249,6 +251,7 @@
         self.last_response_at: dict[str, int] = {}
         self.round = 0  # counts broadcasts of AppendEntries
         self.matched_index = 0  # a follower's last entry that is known to be in the leader's log
+        self.leader_commit_index = 0  # a follower's last word from its leader
         self.leader_hint_term = 0  # term of the latest announcement from which `leader` was taken
         # Round that must be answered, requester, nonce, commit index when it was asked for.
         self.pending_reads: list[tuple[int, str, int, int]] = []
@@ -270,6 +273,7 @@
         if state.snapshot:
             self.load_snapshot(state.snapshot)
         self.load_configs()
+        self.commit_through(committed_index)
 
     # Log and journal.
 
@@ -653,6 +657,7 @@
         if message.term < self.term:
             self.send(sender, APPEND_RESPONSE, 0, 0, 0, 0)
             return
+        self.leader_commit_index = leader_commit
         if self.leader != sender:
             self.leader = sender
             self.events.append(("agreement_follows", {"leader": sender, "term": self.term}))
@@ -836,12 +841,13 @@
     def recover(self) -> None:
         """Continue as the only voter of a new cluster, by an operator's decision.
 
-        It is for the case that a quorum is lost for good. What is committed here stays; members of
-        the old cluster change over to the new one, whose id is higher by one.
+        It is for the case that a quorum is lost for good. The whole log of this member stays and
+        counts as committed: those that are lost may have committed any of it without its knowledge.
+        Members of the old cluster change over to the new one, whose id is higher by one.
         """
+        self.commit_through(self.last_index)
         self.cluster_id += 1
-        if self.last_index > self.commit_index:
-            self.truncate_from(self.commit_index + 1)
+        self.peers_ahead = {}
         for record in compact_journal(self.persistent_state()):
             self.add_record(*record)
         self.step_down("recovered")
@@ -922,6 +928,21 @@
 
     # Learning from other members.
 
+    def has_latest_commit(self) -> bool:
+        """Return whether a leader is in contact, and all that it has committed is committed here.
+
+        A voter takes an entry of the leader's own term as the sign: it comes after all entries of
+        earlier terms that are committed (3.6.2).
+        """
+        if not self.leader or not self.commit_index or self.is_behind():
+            return False
+        if not self.is_voter:
+            return True
+        return (
+            self.term_at(self.commit_index) == self.term
+            and self.commit_index >= self.leader_commit_index
+        )
+
     def is_behind(self) -> bool:
         """Return whether a member is known that has committed more than is committed here."""
         return bool(self.peers_ahead) and max(self.peers_ahead.values()) > self.commit_index
@@ -998,6 +1019,7 @@
         self.role = FOLLOWER
         self.leader = ""
         self.matched_index = 0
+        self.leader_commit_index = 0
         self.term_record = self.add_record(IDENTITY_RECORD, cluster_id, self.disk_id)
         if had_cluster:
             self.state_machine.restore(b"")
--- a/whinpier/fleet/consensus/service.py
+++ b/whinpier/fleet/consensus/service.py
@@ -25,6 +25,7 @@
 
 from whinpier import log
 from whinpier.config.model import ConfigFault, Spec
+from whinpier.fleet.consensus.commit_log import CommitLog, CommitPoint, committed_index
 from whinpier.fleet.consensus.node import (
     CLUSTER_ID_STRIDE,
     DEFAULT_TIMING,
@@ -136,7 +137,9 @@
         self.random = Random(Random().getrandbits(64))
         self.journal = AppendLog(str(Path(spec.folder) / "record"), JOURNAL_MAGIC, MAX_RECORD_BYTES)
         self.release_file = Path(spec.folder) / RELEASE_FILE_NAME
+        self.commit_log = CommitLog(str(Path(spec.folder) / "committed"))
         state = self.open_journal()
+        points = self.open_commit_log()
         # `disk_version_of` what is on disk now, and of what was there at the start.
         self.disk_version = self.disk_version_at_start = disk_version_of(state)
         self.state_machine = RolloutStateMachine()
@@ -148,6 +151,15 @@
             Random(self.random.random()),
             DEFAULT_TIMING,
             DEFAULT_TIMING.election_timeout if state.cluster_id else 0,
+            committed_index(state, points),
+        )
+        log.info(
+            "agreement",
+            record=f"{state.cluster_id:x}",
+            disk=f"{state.disk_id:x}",
+            term=state.term,
+            lines=self.node.last_index,
+            committed=self.node.commit_index,
         )
         if not state.disk_id:
             self.assign_disk_id()
@@ -162,6 +174,8 @@
         self.read_indexes: dict[int, int] = {}  # by nonce; 0 until the leader answers
         self.seen_changes = -1
         self.seen_commit = -1
+        self.seen_cluster_id = self.node.cluster_id
+        self.is_relearning = False  # the log, from the start, while earlier orders are in force
         self.running_content = self.read_released_content()  # hash of the release; empty: none
         self.previous_content = self.running_content  # before the last switch
         self.switched_at = 0  # 0: no switch that may still be rolled back
@@ -201,22 +215,19 @@
             raise AppendLogError(
                 self.journal.path, f"{fault}; move it away to begin as a new voter"
             ) from None
-        if self.journal.torn_bytes:
-            log.warning(
-                "consensus_log_torn",
-                file=self.journal.path,
-                kept=self.journal.size,
-                cut=self.journal.torn_bytes,
-            )
-        log.info(
-            "agreement",
-            record=f"{state.cluster_id:x}",
-            disk=f"{state.disk_id:x}",
-            term=state.term,
-            lines=state.log_offset + len(state.entries),
-        )
+        warn_if_torn(self.journal.path, self.journal.torn_bytes, self.journal.size)
         return state
 
+    def open_commit_log(self) -> list[CommitPoint]:
+        """Open the file of what is committed; raises AppendLogError, with the journal closed."""
+        try:
+            points = self.commit_log.open()
+        except AppendLogError:
+            self.journal.close()
+            raise
+        warn_if_torn(self.commit_log.path, self.commit_log.torn_bytes, self.commit_log.size)
+        return points
+
     def read_released_content(self) -> str:
         """Return the hash in the first line of the release file, or an empty text without one."""
         try:
@@ -227,20 +238,30 @@
         return header[1].decode() if header else ""
 
     async def run_journal_writer(self) -> None:
-        """Write journal records in a thread as they are issued; close the journal at the end."""
+        """Write what is to be on disk in a thread as it comes; close the files at the end."""
         try:
             while True:
                 await self.records_pending.wait()
                 self.records_pending = anyio.Event()
-                while self.node.pending_records:
-                    if not await self.write_pending_records():
+                while self.node.pending_records or self.has_unsaved_commit():
+                    if not await self.write_to_disk():
                         await anyio.sleep(WRITE_RETRY_SECONDS)
                     self.loop.dispatch(self, self.flush)
         finally:
             self.journal.close()
+            self.commit_log.close()
+
+    async def write_to_disk(self) -> bool:
+        """Write the pending records, if there are any, and what is committed; return whether it is done."""
+        if self.node.pending_records:
+            return await self.write_pending_records()
+        return await self.save_commit()
 
     async def write_pending_records(self) -> bool:
-        """Append the pending records, or rewrite the journal; return whether they are on disk."""
+        """Append the pending records, or rewrite the journal, and save what is committed by that.
+
+        Return whether all of it is on disk.
+        """
         node = self.node
         journal = self.journal
         records = list(node.pending_records)
@@ -257,18 +278,54 @@
                 appended = b"".join(map(encode_record, records))
                 await anyio.to_thread.run_sync(journal.append, appended)
         except OSError as fault:
-            if not self.disk_error:
-                log.warning("consensus_log_failed", file=journal.path, fault=fault)
-            self.disk_error = str(fault)
+            self.on_write_failed(journal.path, fault)
             return False
-        if self.disk_error:
-            log.info("consensus_log_recovered", file=journal.path)
-            self.disk_error = ""
         del node.pending_records[: len(records)]
         self.disk_version = disk_version
         node.on_records_synced(issued)
+        if self.has_unsaved_commit():
+            self.loop.dispatch(self, self.flush)  # others need not wait for this to be on disk
+            return await self.save_commit()
+        self.on_write_succeeded(journal.path)
         return True
 
+    def commit_point(self) -> CommitPoint:
+        """Return the last entry that is known to be committed."""
+        node = self.node
+        return CommitPoint(node.cluster_id, node.commit_index, node.term_at(node.commit_index))
+
+    def has_unsaved_commit(self) -> bool:
+        """Return whether more is committed than the disk says."""
+        return self.node.commit_index > 0 and self.commit_point() != self.commit_log.saved
+
+    def saved_commit_index(self) -> int:
+        """Return the last entry that is committed and would be known to be after a restart."""
+        saved = self.commit_log.saved
+        return saved.entry_index if saved.cluster_id == self.node.cluster_id else 0
+
+    async def save_commit(self) -> bool:
+        """Save what is committed, and report it; return whether it is on disk."""
+        try:
+            await anyio.to_thread.run_sync(self.commit_log.save, self.commit_point())
+        except OSError as fault:
+            self.on_write_failed(self.commit_log.path, fault)
+            return False
+        self.on_write_succeeded(self.commit_log.path)
+        self.loop.dispatch(self, self.send_report)
+        return True
+
+    def on_write_failed(self, path: str, fault: OSError) -> None:
+        """Log the first of several failures of the disk."""
+        if not self.disk_error:
+            log.warning("consensus_log_failed", file=path, fault=fault)
+        self.disk_error = str(fault)
+
+    def on_write_succeeded(self, path: str) -> None:
+        """Log that the disk takes records again, if it had failed."""
+        if self.disk_error:
+            log.info("consensus_log_recovered", file=path)
+            self.disk_error = ""
+
     # Life cycle of the process.
 
     def start(self) -> None:
@@ -420,13 +477,14 @@
         for name, fields in node.events:
             self.emit_event(name, **fields)
         node.events = []
+        if self.has_unsaved_commit():
+            self.records_pending.set()
         if node.commit_index != self.seen_commit:
             self.seen_commit = node.commit_index
             self.link.members.publish(LOG_PROGRESS_CHANNEL, node.announcement(self.disk_version))
-        if self.state_machine.changes != self.seen_changes:
+        if self.state_machine.changes != self.seen_changes or self.is_relearning:
             self.seen_changes = self.state_machine.changes
             self.apply_orders()
-            self.send_report()
         self.schedule()
 
     def emit_event(self, name: str, **fields: Any) -> None:
@@ -478,13 +536,7 @@
             return
         has_waited = now - self.started_at >= self.spec.wait
         node = self.node
-        if node.cluster_id:
-            is_up_to_date = bool(node.leader) and node.commit_index > 0 and not node.is_behind()
-        else:
-            # No other member is part of a cluster either, so there are no orders.
-            is_up_to_date = self.has_heard_announcement and all(
-                cluster_id == 0 for _, cluster_id in self.announced_disks.values()
-            )
+        is_up_to_date = node.has_latest_commit() if node.cluster_id else self.is_fleet_new()
         if has_waited or is_up_to_date:
             self.is_current = True
             if has_waited:
@@ -495,6 +547,12 @@
                 )
             self.apply_orders()
 
+    def is_fleet_new(self) -> bool:
+        """Return whether no other member that is heard is part of a cluster, so that there are no orders."""
+        return self.has_heard_announcement and all(
+            cluster_id == 0 for _, cluster_id in self.announced_disks.values()
+        )
+
     def bootstrap_if_ready(self) -> None:
         """Begin a cluster if this is the first voter and all voters are connected without one."""
         node = self.node
@@ -582,8 +640,30 @@
         """What the fleet has committed for this process."""
         return self.state_machine.orders_for(self.link.spec.name)
 
+    def knows_orders(self) -> bool:
+        """Return whether what is committed here, or that there is nothing, is known at all."""
+        if self.is_relearning:
+            return False
+        return self.node.commit_index > 0 or (not self.node.cluster_id and self.is_fleet_new())
+
+    def update_is_relearning(self) -> None:
+        """Begin to relearn the log where another one replaces it, until it is known to its end."""
+        node = self.node
+        if node.cluster_id != self.seen_cluster_id:
+            self.is_relearning = self.is_relearning or self.seen_cluster_id != 0
+            self.seen_cluster_id = node.cluster_id
+        if self.is_relearning:
+            self.is_relearning = not node.commit_index or node.is_behind()
+
     def apply_orders(self) -> None:
-        """Carry out the committed drains, release and build of this process."""
+        """Carry out the committed drains, release and build of this process.
+
+        Where they are not known, this process goes on by what it has.
+        """
+        self.update_is_relearning()
+        if not self.knows_orders():
+            self.process.out_of_rotation = self.is_drained or not self.is_current
+            return
         orders = self.orders
         self.process.out_of_rotation = orders.is_drained or not self.is_current
         if self.is_current and orders.is_drained != self.is_drained:
@@ -739,7 +819,7 @@
                 if not pool.in_flight_at(host)
             ]
         return MemberReport(
-            self.node.commit_index,
+            self.saved_commit_index(),  # no drain is done that a restart would forget
             self.running_content,
             self.spec.build,
             process.ready(),
@@ -822,7 +902,7 @@
 
     def recover(self) -> None:
         """Continue as the only voter, by an operator's decision after a quorum is lost for good."""
-        log.warning("consensus_recovered", lines=self.node.commit_index, term=self.node.term)
+        log.warning("consensus_recovered", lines=self.node.last_index, term=self.node.term)
         self.node.recover()
         self.flush()
 
@@ -854,6 +934,12 @@
     return state.term << 32 | min(2 * last_index + bool(state.voted_for), 2**32 - 1)
 
 
+def warn_if_torn(path: str, torn_bytes: int, kept_bytes: int) -> None:
+    """Log that the last record of a file was cut short by a kill, if it was."""
+    if torn_bytes:
+        log.warning("consensus_log_torn", file=path, kept=kept_bytes, cut=torn_bytes)
+
+
 def report_signature(report: MemberReport) -> tuple[Any, ...]:
     """Return the parts of a report whose change the leader is told at once."""
     return (
--- a/whinpier/model_checking/consensus.py
+++ b/whinpier/model_checking/consensus.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterable
 from typing import Any
 
+from whinpier.fleet.consensus.commit_log import CommitPoint, committed_index
 from whinpier.fleet.consensus.node import (
     CANDIDATE,
     CONFIG_ENTRY,
@@ -124,8 +125,12 @@
     def party(self, place: int) -> Any:
         return self.parties[place]
 
-    def started(self, place: int) -> RaftNode:
-        party = self.make(f"m{place}", self.on_disk(place), Lines(), self.now, self.chance(), PACE)
+    def started(self, place: int, points: Iterable[CommitPoint] = ()) -> RaftNode:
+        state = self.on_disk(place)
+        committed = committed_index(state, points)
+        party = self.make(
+            f"m{place}", state, Lines(), self.now, self.chance(), PACE, committed_index=committed
+        )
         party.max_entries_per_append = self.lines
         return party
 
@@ -258,7 +263,10 @@
     def do_crash(self, place: int) -> None:
         self.crashes -= 1
         self.runs[place] += 100
-        self.parties[place] = self.started(place)
+        party = self.parties[place]
+        # It was on disk at once: that the log comes later must not make more committed than was.
+        point = CommitPoint(RECORD, party.commit_index, party.term_at(party.commit_index))
+        self.parties[place] = self.started(place, [point])
 
     def do_time(self) -> None:
         self.left -= 1
