A process with RADIUS in its file hears its bank

Cause: one list held all datagram sockets. The RADIUS frontend kept it, the bank's socket was appended to it later, and the frontend, which starts last, put its own reader in the place of the bank's. The log has the bank's datagrams as RADIUS requests that are cut short.

Change: the bank's socket is in a list of its own, so that the frontend has only what it opened, at its start and at its end.

--- a/tests/fleet/test_fleet_processes.py
+++ b/tests/fleet/test_fleet_processes.py
@@ -91,6 +91,24 @@
     assert sorted(numbers) == [0, 1, 2, 3]
 
 
+def test_processes_with_radius_in_their_files_hear_each_other_to_their_end(fleet):
+    """Guards against a RADIUS frontend that reads the fleet's socket, or no longer lets it be read."""
+
+    def service_with_radius(process):
+        records = files.records(free_address(), {"r0": "127.0.0.1:9"}, ["partner"])
+        http = service(process)
+        return http | records | {"pools": http["pools"] | records["pools"]}
+
+    two = fleet(2, service=service_with_radius)
+    two.start()
+    until(two.gathered)
+    # A process that stops serves for a while; it hears the others until it has ended.
+    two.processes[1].balancer.process.send_signal(signal.SIGTERM)
+    until(lambda: "event=stopped" in two.processes[1].balancer.log())
+    logs = [one.balancer.log() for one in two.processes]
+    assert not any("radius_bad_request" in log or "member_lost" in log for log in logs)
+
+
 def test_a_goodbye_a_restart_and_all_killed_at_once_without_their_seeds(fleet):
     four = fleet(4, seeds=1)
     four.start()
--- a/whinpier/__main__.py
+++ b/whinpier/__main__.py
@@ -64,6 +64,8 @@
     streams: list[socket.socket] = []
     datagrams: list[socket.socket] = []
     other_streams: list[socket.socket] = []  # of protocols other than HTTP
+    # Apart from those that a frontend reads: the fleet has a reader of its own.
+    fleet_datagrams: list[socket.socket] = []
     try:
         addresses = [(streams, socket.SOCK_STREAM, address) for address in spec.listen]
         for protocol in spec.beside.values():
@@ -91,7 +93,7 @@
             from whinpier.fleet import bootstrap as fleet  # imported only if configured
 
             try:
-                process.fleet = fleet.start(process, datagrams)
+                process.fleet = fleet.start(process, fleet_datagrams)
             except OSError as error:
                 log.warning("listen_failed", address="bank.listen", fault=error)
                 return 1
@@ -100,7 +102,7 @@
                 return 2
         anyio.run(run, streams, process)
     finally:
-        for sock in (*streams, *datagrams, *other_streams):
+        for sock in (*streams, *datagrams, *other_streams, *fleet_datagrams):
             sock.close()
     return 0
 
