RADIUS: a packet that a full buffer held up does not go to a server that drains

Cause: a packet whose first datagram the system did not take is due again after `retransmit`.

Change: a packet of which nothing has left is settled as not sent where its server is no longer ready, and goes to another one.

Measured: test_packet_that_a_full_buffer_held_up_does_not_go_to_a_server_that_drains fails on the code before and passes; tests/radius/test_server_runs.py: 20 passed.

--- a/tests/radius/test_server_runs.py
+++ b/tests/radius/test_server_runs.py
@@ -13,7 +13,7 @@
 from whinpier import log
 from whinpier.__main__ import bind_socket
 from whinpier.policy.decaying_sum import SECOND
-from whinpier.policy.model import UpstreamState
+from whinpier.policy.model import Outcome, UpstreamState
 from whinpier.radius import client as radius_client
 from whinpier.radius import identifiers
 from whinpier.radius.refused_datagrams import read_refused
@@ -205,6 +205,17 @@
         assert all(one.run_has_ended for one in story.endpoint.waiting.values())
 
 
+async def test_packet_that_a_full_buffer_held_up_does_not_go_to_a_server_that_drains(tmp_path):
+    """Guards against new work for a server that the list has taken out meanwhile."""
+    async with running(tmp_path, retransmit=9.0) as harness:
+        story = Story(harness)
+        await story.send()
+        story.sending.sent_count = 0  # as if the system had not taken it
+        story.pool.update_endpoints([story.listed(state=UpstreamState.DRAINING)], False)
+        assert not await story.repeat()
+        assert not story.endpoint.waiting and story.sending.outcome == Outcome.NOT_SENT
+
+
 def test_the_error_queue_names_the_datagram_that_was_refused():
     """Guards against a refusal that is taken for one of another packet."""
     server = bind_socket(socket.SOCK_DGRAM, ("127.0.0.1", 0))
--- a/whinpier/radius/client.py
+++ b/whinpier/radius/client.py
@@ -142,6 +142,9 @@
             return
         if sending.sent_count and not self.may_repeat(sending):
             return
+        if not sending.sent_count and self.state != UpstreamState.READY:
+            self.settle_unsent(sending, Outcome.NOT_SENT)  # a full buffer held it up until now
+            return
         sending.tries += 1
         if not self.send_datagram(sending):
             return
@@ -180,7 +183,7 @@
             self.was_refused = True
             self.read_errors()
             if not sending.sent_count:
-                self.settle_unserved(sending)
+                self.settle_unsent(sending, Outcome.CONNECT_FAILED)
                 return False
         except OSError as fault:
             log.warning("radius_not_sent", upstream=self.host, fault=fault)
@@ -206,14 +209,14 @@
         """Send nothing again that may be at a process that has ended: the next would run it anew."""
         for sending in tuple(self.waiting.values()):
             if sending.was_all_refused():
-                self.settle_unserved(sending)
+                self.settle_unsent(sending, Outcome.CONNECT_FAILED)
             elif sending.sent_count:
                 sending.run_has_ended = True
 
-    def settle_unserved(self, sending: Sending) -> None:
-        """Settle an attempt that reached no process."""
+    def settle_unsent(self, sending: Sending, outcome: Outcome) -> None:
+        """Settle an attempt that has reached no process."""
         self.release(sending, True)
-        self.pool.settle(sending, Outcome.CONNECT_FAILED)
+        self.pool.settle(sending, outcome)
 
     def on_readable(self, number: int) -> None:
         """Read what has come on a socket."""
