--- a/tests/http/test_endings.py
+++ b/tests/http/test_endings.py
@@ -438,6 +438,14 @@
             assert (await harness.read(client, b"done")).startswith(b"HTTP/1.1 200")
 
 
+async def test_connection_holds_no_method_of_its_own():
+    """Guards against connections that refer to themselves: collecting them stops the loop for long."""
+    async with running_harness() as harness:
+        _, _, connection = await send_more_than_is_read(harness, 80)
+        values = vars(connection).values()
+        assert not any(getattr(value, "__self__", None) is connection for value in values)
+
+
 async def test_requests_that_are_unread_are_rejected_while_stopping():
     """Guards against requests that are dropped as their connection ends, since they were not read."""
     count = 80
--- a/whinpier/http/buffers.py
+++ b/whinpier/http/buffers.py
@@ -10,7 +10,6 @@
 import re
 import select
 import socket
-from collections.abc import Callable
 from time import perf_counter_ns
 
 import anyio
@@ -166,7 +165,9 @@
     unsent: memoryview  # written, but not taken by the socket yet
     closed: bool
     asyncio_loop: asyncio.AbstractEventLoop | None = None
-    on_event: Callable[[], None] | None = None  # called whenever data arrives
+    # Whether CPU time is counted. The method that is called is not kept: the connection would refer to
+    # itself, and stay until a full garbage collection.
+    is_metered = False
     reading_paused = False  # what arrives stays with the system, which holds the peer up
 
     def read(self) -> None:
@@ -186,8 +187,15 @@
         # anyio.wait_readable would register the socket anew and wake a task for each read, which
         # costs a fifth of all CPU time.
         self.asyncio_loop = asyncio.get_running_loop()
-        self.on_event = self.on_readable_metered if metered else self.on_readable
-        self.asyncio_loop.add_reader(self.sock, self.on_event)
+        self.is_metered = metered
+        self.add_reader()
+
+    def add_reader(self) -> None:
+        """Have the event loop call when data arrives."""
+        assert self.asyncio_loop
+        self.asyncio_loop.add_reader(
+            self.sock, self.on_readable_metered if self.is_metered else self.on_readable
+        )
 
     def pause_reading(self) -> None:
         """Read nothing more until `resume_reading`."""
@@ -197,9 +205,9 @@
 
     def resume_reading(self) -> None:
         """Read again what arrives, if that was paused."""
-        if self.reading_paused and self.asyncio_loop and self.on_event and not self.closed:
+        if self.reading_paused and not self.closed:
             self.reading_paused = False
-            self.asyncio_loop.add_reader(self.sock, self.on_event)
+            self.add_reader()
 
     def on_readable_metered(self) -> None:
         """Read, and add the CPU time to the pool's budget: several pools share the event loop."""
