Log: request ids, reasons of closes and refusals, resident memory

Cause: the evidence could not say which client was served what: the line of the late request was missing, closes had no reason, and a process that was killed for its memory had never logged how much it held.

Change: not_fulfilled names the request, the attempt and its time; request_refused, request_failed and request_rejected give ids and reasons; client_closed is logged where something was under way; counters closed_REASON and rejected_REASON; figures has resident memory, bytes of request and response bodies, and the number of remembered ids. All lines are bounded in rate as before.

--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -10,6 +10,7 @@
 
 import re
 import socket
+from enum import StrEnum
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -55,6 +56,19 @@
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
+class CloseReason(StrEnum):
+    """Why a client's connection is closed; part of a counter's name and a field of the log."""
+
+    PEER = "peer"  # the client closed or reset it
+    ERROR_RESPONSE = "error_response"  # an invalid request, or one after which none can follow
+    IDLE = "idle"
+    SLOW_REQUEST = "slow_request"
+    SLOW_RESPONSE = "slow_response"  # the client did not take its response in time
+    SURPLUS = "surplus"  # descriptors run short
+    STOPPING = "stopping"
+    FAILURE = "failure"  # an error of the balancer itself
+
+
 class HttpRequest(OutboundRequest):
     """A request and the client connection that waits for its response."""
 
@@ -138,6 +152,7 @@
         self.head_parsed = False
         self.closing = False  # no further request is processed
         self.closed = False
+        self.close_reason = CloseReason.PEER
         self.discarded_bytes = 0  # received while closing
 
     def cpu_budget(self) -> PoolBudget | None:
@@ -318,6 +333,12 @@
             )
         if rejected:
             log.counters["rejected_on_arrival"] += 1
+            log.info(
+                "request_rejected",
+                id=request.client_id.decode("latin-1"),
+                lane=request.request_class.name,
+                why=self.frontend.process.rejection_reason,
+            )
             self.send_response(
                 503,
                 b"turned back\n",
@@ -375,10 +396,18 @@
                 self.receiving = False
                 self.send_response(500, b"internal error\n")
 
+    def client_request_id(self) -> str:
+        """Return the id that the client gave the current request, for the log; empty if unknown."""
+        if self.destination is None:
+            return ""
+        return self.header_map.get(self.destination[0].fields.txn, b"").decode("latin-1")
+
     def reject_request(self, error: RequestError) -> None:
         """Respond to an invalid request, and close the connection where the error says so."""
-        log.warning("bad_request", status=error.status, why=error)
+        log.warning("bad_request", status=error.status, why=error, id=self.client_request_id())
         self.receiving = False
+        if error.close_connection:
+            self.close_reason = CloseReason.ERROR_RESPONSE
         self.send_response(
             error.status,
             f"{error}\n".encode("utf-8", "replace"),
@@ -398,7 +427,12 @@
         self.release_body()
         pipelined = self.parser.trailing_data[0]
         # Requests behind this one are owed their responses first.
-        self.closing = close or (self.is_unwanted() and not self.has_further_request(pipelined))
+        is_surplus = self.is_unwanted() and not self.has_further_request(pipelined)
+        if is_surplus:
+            self.close_reason = (
+                CloseReason.STOPPING if self.frontend.closing else CloseReason.SURPLUS
+            )
+        self.closing = close or is_surplus
         # After a request that is incomplete, or with which the client ends the connection, no
         # further request can follow.
         self.closing = self.closing or not (
@@ -483,11 +517,17 @@
         waited = now - self.state_since
         if self.unsent or self.receiving:
             if waited > MESSAGE_TIMEOUT_NS:
-                log.warning("slow_client", reading=self.receiving)
+                log.warning(
+                    "slow_client",
+                    reading=self.receiving,
+                    unsent=len(self.unsent),
+                    body=self.body_size,
+                )
                 if self.unsent:
-                    self.close()
+                    self.close(CloseReason.SLOW_RESPONSE)
                 else:
                     self.reject_request(RequestError(408, "half a request"))
+                    self.close_reason = CloseReason.SLOW_REQUEST
         elif self.closing and waited > LINGER_TIMEOUT_NS:
             self.close()
         elif not self.closing and waited > (
@@ -498,6 +538,7 @@
     def read_or_half_close(self) -> None:
         """Process what may have just arrived; half-close if the connection is still idle."""
         if self.is_idle_after_read():
+            self.close_reason = CloseReason.STOPPING if self.frontend.closing else CloseReason.IDLE
             self.half_close()
 
     def is_idle_after_read(self) -> bool:
@@ -526,11 +567,24 @@
             self.close()
         return self.closed
 
-    def close(self) -> None:
-        """Close the connection, and tell the pool of a request in flight."""
+    def close(self, reason: CloseReason | None = None) -> None:
+        """Close the connection, and tell the pool of a request in flight.
+
+        Without a `reason`, it is that for which the last response ended the connection, if any.
+        """
         if self.closed:
             return
         self.closed = True
+        reason = reason or self.close_reason
+        log.counters[f"closed_{reason}"] += 1
+        if self.request or self.unsent or self.receiving:
+            log.info(
+                "client_closed",
+                reason=reason,
+                id=self.request.client_id.decode("latin-1") if self.request else "",
+                unsent=len(self.unsent),
+                receiving=self.receiving,
+            )
         self.release_body()
         self.count_in_pool(None)
         self.frontend.remove_client(self)
--- a/whinpier/http/listener.py
+++ b/whinpier/http/listener.py
@@ -13,11 +13,11 @@
 import anyio
 
 from whinpier import log
-from whinpier.http.client_connection import ClientConnection
+from whinpier.http.client_connection import ClientConnection, CloseReason
 from whinpier.http.platform_routes import Router
 from whinpier.policy.decaying_sum import SECOND
 from whinpier.runtime.pool import Pool
-from whinpier.runtime.process import SWEEP_INTERVAL, Process
+from whinpier.runtime.process import SWEEP_INTERVAL, Process, RejectionReason
 from whinpier.runtime.resource_budget import PoolBudget
 
 # Accepting these takes some 3 ms; other tasks run after them.
@@ -75,7 +75,7 @@
         budget = self.budget
         usual_requests = budget.total_connections - budget.max_clients
         if len(self.clients) > budget.max_clients and budget.requests.used >= usual_requests:
-            return True
+            return self.process.reject_because(RejectionReason.CLIENTS)
         return self.process.rejects(pool, route, tenant, ticket, again)
 
     def remove_client(self, client: ClientConnection) -> None:
@@ -101,7 +101,7 @@
         )
         for group in (finished, silent, self.longest_idle(now - MIN_IDLE_NS)):
             if client := next((client for client in group if client.can_be_closed()), None):
-                client.close()
+                client.close(CloseReason.SURPLUS)
                 return
 
     def longest_idle(self, before: int) -> Iterator[ClientConnection]:
@@ -193,7 +193,7 @@
         longest_idle = self.longest_idle(now - SWEEP_INTERVAL)
         while self.is_crowded() and (idle_client := next(longest_idle, None)):
             if idle_client.is_idle_after_read():
-                idle_client.close()
+                idle_client.close(CloseReason.SURPLUS)
 
     def has_clients(self) -> bool:
         """Tell whether any client is connected."""
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -28,7 +28,7 @@
     UpstreamState,
 )
 from whinpier.policy.policy import Policy
-from whinpier.runtime.event_loop import EventLoop
+from whinpier.runtime.event_loop import MS, EventLoop
 from whinpier.runtime.resource_budget import Budget, PoolBudget
 
 # If discovery sends no list for so long after the start, the last known one is used.
@@ -75,6 +75,10 @@
         """Tell whether the client still waits for the response to this request."""
         raise NotImplementedError
 
+    def log_id(self) -> str:
+        """Return the id that names this request in the log."""
+        return self.client_id.decode("latin-1") or str(self.id)
+
     def client_disconnected(self) -> bool:
         """Check the connection for a disconnect not yet noticed; if there is one, tell the pool."""
         return False
@@ -331,14 +335,28 @@
         """Respond that the request was not executed and may be retried after `wait`."""
         assert isinstance(request, PendingRequest)
         if self.finish(request, "turned_back"):
+            self.log_unserved("request_refused", request, wait)
             request.respond_rejected(wait)
 
     def fail(self, request: Request) -> None:
         """Respond that the request failed and may have been executed."""
         assert isinstance(request, PendingRequest)
         if self.finish(request, "scrapped"):
+            self.log_unserved("request_failed", request)
             request.respond_failed()
 
+    def log_unserved(self, event: str, request: PendingRequest, wait: int = 0) -> None:
+        """Log why a request is not served: the outcomes of its attempts, and the time it had."""
+        log.info(
+            event,
+            id=request.log_id(),
+            lane=request.request_class.name,
+            outcomes=",".join(str(sent.outcome) for sent in request.attempts),
+            ms=(self.now - request.arrived_at) // MS,
+            allowed_ms=(request.deadline - request.arrived_at) // MS,
+            wait_ms=wait // MS,
+        )
+
     def set_timer(self, at: int, token: int = 0) -> None:
         """Call the policy's `on_timer` at the time `at`."""
         if not self.closed:
@@ -564,6 +582,10 @@
                 upstream=sent.endpoint.host,
                 outcome=outcome,
                 lane=request.request_class.name,
+                id=request.log_id(),
+                attempt=sent.number + 1,
+                ms=sent.duration // MS,
+                ended=request.ended,
             )
         first = outcome == Outcome.SUCCEEDED and not request.ended
         if first and self.finish(request, "fulfilled"):
--- a/whinpier/runtime/process.py
+++ b/whinpier/runtime/process.py
@@ -13,6 +13,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from enum import StrEnum
 from random import Random
 from typing import Any, Protocol
 
@@ -30,6 +31,7 @@
 )
 from whinpier.policy.decaying_sum import SECOND, Pacer
 from whinpier.runtime.event_loop import MS, EventLoop
+from whinpier.runtime.memory import resident_bytes
 from whinpier.runtime.pool import Endpoint, EndpointWatch, PendingRequest, Pool
 from whinpier.runtime.resource_budget import Budget, PoolBudget, reserved_descriptors
 
@@ -53,6 +55,16 @@
     return f"{host}:{port}"
 
 
+class RejectionReason(StrEnum):
+    """Why a request is rejected on arrival; part of a counter's name and a field of the log."""
+
+    CLIENTS = "clients"  # more are connected than may send requests
+    STOPPING = "stopping"
+    LATE = "late"  # the event loop is late, so a part of the requests is shed
+    IN_FLIGHT = "in_flight"  # the pool has as many as it may have
+    LIMIT = "limit"  # of a rate, quota or tenant
+
+
 class Frontend(Protocol):
     """The side of a protocol that faces clients."""
 
@@ -134,6 +146,7 @@
         self.stopping = False
         self.closing = False
         self.stop_deadline = 0
+        self.rejection_reason = RejectionReason.LATE  # of the request rejected last
         self.out_of_rotation = False  # not ready for new clients, though requests are served
         self.longest_gc_pause = 0  # nanoseconds, since the last metrics
         self.gc_started_at = 0
@@ -211,16 +224,25 @@
         `again` means that its client says it is a repeat.
         """
         shed = pool.budget.shed_ratio
-        rejected = self.closing or pool.closing or bool(shed and self.random() < shed)
-        if rejected or not pool.budget.requests.acquire():
-            return True
+        if self.closing or pool.closing:
+            return self.reject_because(RejectionReason.STOPPING)
+        if shed and self.random() < shed:
+            return self.reject_because(RejectionReason.LATE)
+        if not pool.budget.requests.acquire():
+            return self.reject_because(RejectionReason.IN_FLIGHT)
         if (pool.limiters or pool.request_limiters) and not pool.admit(
             route, tenant, ticket, again
         ):
             pool.budget.requests.release()
-            return True
+            return self.reject_because(RejectionReason.LIMIT)
         return False
 
+    def reject_because(self, reason: RejectionReason) -> bool:
+        """Count a rejection and keep its reason for the log; return True."""
+        self.rejection_reason = reason
+        log.counters[f"rejected_{reason}"] += 1
+        return True
+
     def deadline(self, arrived_at: int, timeout: int) -> int:
         """Return when a request must end, so that its client has the response in time.
 
@@ -350,6 +372,10 @@
             **self.frontend_metrics(),
             links=self.budget.connections.used,
             timers=len(self.loop.timers),
+            ids=len(self.ids),
+            memory_mb=resident_bytes() >> 20,
+            request_kb=self.budget.request_bytes.used >> 10,
+            response_kb=self.budget.bodies.used >> 10,
             lag_ms=self.loop.max_lag // MS,
             collect_ms=self.longest_gc_pause // MS,
             cpu_s=round(time.process_time(), 2),
