HTTP: what one connection has sent is parsed in turns of a millisecond

Cause: one read event parsed and answered everything that a connection had sent, up to 64 KiB: two thousand health checks, or ten thousand one-byte chunks, 0.2 to 0.4 s in one turn of the event loop; and again in its next turn. h11 parses trailers of any size in one step, and each chunk's bytes were an object of their own.

Change: a connection parses for a millisecond (Turn); then it waits unread in a queue that the event loop works off for two milliseconds in each iteration, first come first served (TurnQueue), behind what has arrived for others. h11 gets 4 KiB at a time, so that trailers are refused at 128 lines before it parses them; the rest is kept beside it, which also spares copies. Behind a request in flight no more is read than may wait. A body is one bytearray. Whether a further request is whole is looked up over 64 events at the most.

--- a/tests/http/test_endings.py
+++ b/tests/http/test_endings.py
@@ -302,7 +302,9 @@
         upstream, _ = await harness.accept_attempt()
         harness.process.closing = True
         client.sendall(request() + request() + b"POST")  # read behind the request in flight
-        await harness.until(lambda: next(iter(harness.frontend.clients)).parser.trailing_data[0])
+        await harness.until(
+            lambda: next(iter(harness.frontend.clients)).request_parser.unparsed_size()
+        )
         upstream.sendall(OK_RESPONSE)
         response = await harness.read(client, b"never")
         assert response.count(b"HTTP/1.1") == 3 and response.count(b"connection: close") == 1
@@ -338,7 +340,9 @@
         upstream, _ = await harness.accept_attempt()
         monkeypatch.setattr(harness.frontend, "is_crowded", lambda _=None: True)
         client.sendall(request() + request())
-        await harness.until(lambda: next(iter(harness.frontend.clients)).parser.trailing_data[0])
+        await harness.until(
+            lambda: next(iter(harness.frontend.clients)).request_parser.unparsed_size()
+        )
         upstream.sendall(OK_RESPONSE)
         for _ in range(2):
             await harness.read(upstream, b"{}")
@@ -407,7 +411,7 @@
         client, upstream, connection = await send_more_than_is_read(harness, count)
         for left in range(count, -1, -1):
             await harness.run_loop(5)
-            waiting = len(connection.parser.trailing_data[0])
+            waiting = connection.request_parser.unparsed_size()
             assert waiting <= MAX_PIPELINED_BYTES + buffers.BUFFER_BYTES
             upstream.sendall(OK_RESPONSE)
             response = await harness.read(client, b"done")
@@ -427,7 +431,7 @@
         await harness.read(client, b"done")
         connection.unsent = memoryview(b"x" * MAX_UNSENT_BYTES + b"end")
         client.sendall(request() + request())
-        await harness.until(lambda: connection.parser.trailing_data[0])
+        await harness.until(lambda: connection.request_parser.unparsed_size())
         await harness.run_loop()
         assert harness.attempts_started() == 1
         connection.flush()
--- a/whinpier/http/buffers.py
+++ b/whinpier/http/buffers.py
@@ -10,6 +10,7 @@
 import re
 import select
 import socket
+from collections.abc import Callable
 from time import perf_counter_ns
 
 import anyio
@@ -37,6 +38,9 @@
 # Five times what a gateway with traces and cookies sends.
 MAX_HEAD_LINES = 128
 
+# Events of a request that are parsed only to see whether it is whole.
+MAX_EVENTS_AHEAD = 64
+
 _spare_buffers: list[bytearray] = []
 
 
@@ -51,11 +55,14 @@
         _spare_buffers.append(buffer)
 
 
-def receive(sock: socket.socket) -> bytes:
-    """Return what has arrived on a socket, or no bytes at its end; raise OSError as `recv` does."""
+def receive(sock: socket.socket, limit: int = BUFFER_BYTES) -> bytes:
+    """Return what has arrived on a socket, or no bytes at its end; raise OSError as `recv` does.
+
+    At most `limit` bytes are read, of BUFFER_BYTES at the most.
+    """
     buffer = acquire_buffer()
     try:
-        count = sock.recv_into(buffer)
+        count = sock.recv_into(buffer, limit)
         return bytes(memoryview(buffer)[:count])
     finally:
         release_buffer(buffer)
@@ -130,6 +137,12 @@
         raise HeadTooLargeError("trailers of too many lines or bytes")
 
 
+def check_incomplete_trailers(received: bytes) -> None:
+    """Refuse trailers of too many lines before they have ended; a chunk's head is one line."""
+    if received.count(b"\r\n") > MAX_HEAD_LINES:
+        raise HeadTooLargeError("trailers of too many lines or bytes")
+
+
 def check_framing(headers: list[tuple[bytes, bytes]], version: bytes) -> None:
     """Refuse a message whose end is ambiguous (RFC 9112, section 6.3).
 
@@ -150,11 +163,13 @@
     parser = h11.Connection(h11.SERVER)
     parser.receive_data(data)
     try:
-        while isinstance(event := parser.next_event(), (h11.Request, h11.Data)):
-            pass
+        for _ in range(MAX_EVENTS_AHEAD):
+            event = parser.next_event()
+            if not isinstance(event, (h11.Request, h11.Data)):
+                return isinstance(event, h11.EndOfMessage)
     except h11.RemoteProtocolError:
         return False
-    return isinstance(event, h11.EndOfMessage)
+    return True  # many small chunks: whole or not, it is to be parsed in its turn
 
 
 class Connection:
@@ -168,6 +183,7 @@
     # Whether CPU time is counted. The method that is called is not kept: the connection would refer to
     # itself, and stay until a full garbage collection.
     is_metered = False
+    is_deferred = False  # it is in the loop's queue of turns
     reading_paused = False  # what arrives stays with the system, which holds the peer up
 
     def read(self) -> None:
@@ -210,24 +226,53 @@
             self.add_reader()
 
     def on_readable_metered(self) -> None:
-        """Read, and add the CPU time to the pool's budget: several pools share the event loop."""
+        """Read, and add the CPU time to the pool's budget."""
+        self.run_metered(self.on_readable)
+
+    def run_metered(self, call: Callable[[], None]) -> None:
+        """Add the CPU time of a call to the pool's budget: several pools share the event loop."""
         started_at = perf_counter_ns()
-        self.on_readable()
+        call()
         if budget := self.cpu_budget():
             budget.cpu_time.add(self.loop.now, perf_counter_ns() - started_at)
 
     def on_readable(self) -> None:
         """Read; an unexpected error closes this connection and never ends the process."""
+        self.run_guarded(self.read)
+
+    def run_guarded(self, call: Callable[[], None]) -> None:
+        """Call; an unexpected error closes this connection."""
         try:
-            self.read()
+            call()
         except Exception:
             log.exception("connection_task_failed")
             self.close()
 
-    def receive(self) -> bytes | None:
+    def parse_received(self) -> None:
+        """Go on parsing what has been received."""
+        raise NotImplementedError
+
+    def defer_parsing(self) -> None:
+        """Let other connections run first, and read nothing more until this one goes on."""
+        if not self.is_deferred:
+            self.is_deferred = True
+            self.pause_reading()
+            self.loop.turns.defer(self.end_deferral)
+
+    def end_deferral(self) -> None:
+        """Go on parsing, unless the connection has been closed meanwhile."""
+        self.is_deferred = False
+        if self.closed:
+            return
+        if self.is_metered:
+            self.run_metered(lambda: self.run_guarded(self.parse_received))
+        else:
+            self.run_guarded(self.parse_received)
+
+    def receive(self, limit: int = BUFFER_BYTES) -> bytes | None:
         """Return what has arrived: None if nothing has, no bytes if the connection has ended."""
         try:
-            return receive(self.sock)
+            return receive(self.sock, limit)
         except BlockingIOError:
             return None
         except OSError:
--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -24,6 +24,7 @@
     check_request,
     query_parameter,
 )
+from whinpier.http.request_parser import RequestParser
 from whinpier.http.upstream_connection import (
     BODILESS_STATUSES,
     MAX_REQUEST_BODY_BYTES,
@@ -35,6 +36,7 @@
 from whinpier.policy.model import RequestClass
 from whinpier.runtime.pool import stable_hash
 from whinpier.runtime.resource_budget import PoolBudget
+from whinpier.runtime.turn_queue import Turn
 
 if TYPE_CHECKING:
     from whinpier.http.listener import HttpFrontend
@@ -86,7 +88,7 @@
         super().__init__(client.loop.next_id(), request_class, arrived_at, deadline)
         self.client = client
         self.client_id = client_id
-        self.body = b"".join(client.body_parts)
+        self.body = bytes(client.body)
         head = [b"%s %s HTTP/1.1\r\n" % (client.method, client.target)]
         head += [
             b"%s: %s\r\n" % pair for pair in client.headers if pair[0] not in UNFORWARDED_HEADERS
@@ -130,14 +132,13 @@
         self.frontend = frontend
         self.loop = frontend.loop
         self.sock = sock
-        self.parser = h11.Connection(h11.SERVER)
+        self.request_parser = RequestParser()
         # Of the current request:
         self.method = b""
         self.target = b""
         self.headers = list[tuple[bytes, bytes]]()
         self.header_map: dict[bytes, bytes] = {}  # the last header of each name
-        self.body_parts: list[bytes] = []
-        self.body_size = 0  # bytes
+        self.body = bytearray()
         self.destination: tuple[RouteTarget, RequestClass] | None = None
         # Why no route was found, if the client may go on using the connection.
         self.routing_error: RequestError | None = None
@@ -149,7 +150,7 @@
         self.pool_budget: PoolBudget | None = None  # of the pool that got its last request
         self.unsent = memoryview(b"")
         self.receiving = False  # part of a request has arrived
-        self.head_parsed = False
+        self.is_parsing = False  # a response that is written now is followed by the next request
         self.closing = False  # no further request is processed
         self.closed = False
         self.close_reason = CloseReason.PEER
@@ -161,33 +162,47 @@
 
     def read(self) -> None:
         """Process what has arrived on the socket."""
-        data = self.receive()
+        data = self.receive(self.read_limit())
         if data is None:
             return
         if self.closing:
             self.discarded_bytes += len(data)
         if not data or self.discarded_bytes > MAX_DISCARDED_BYTES:
             self.close()
-        elif not self.is_held_up() and not self.closing:
-            is_first_read = not self.receiving
-            self.receiving = True
-            # The time-out of a new client's first request runs from the accept.
-            if is_first_read and self not in self.frontend.new_clients:
-                self.state_since = self.loop.clock()
-            if not (is_first_read and self.process_simple_request(data)):
-                self.parser.receive_data(data)
-                self.process_requests()
-        elif not self.closing:
-            self.parser.receive_data(data)
+        elif self.closing:
+            return
+        elif self.is_held_up():
+            self.request_parser.receive(data)
             self.limit_pipelining()
+        else:
+            self.process_data(data)
+
+    def read_limit(self) -> int:
+        """Return how many bytes may be read now: few behind a request without a response."""
+        if self.closing or not self.is_held_up():
+            return buffers.BUFFER_BYTES
+        return max(1, MAX_PIPELINED_BYTES + 1 - self.request_parser.unparsed_size())
+
+    def process_data(self, data: bytes) -> None:
+        """Process received bytes of a connection that waits for no response."""
+        is_first_read = not self.receiving
+        self.receiving = True
+        # The time-out of a new client's first request runs from the accept.
+        if is_first_read and self not in self.frontend.new_clients:
+            self.state_since = self.loop.clock()
+        if not (is_first_read and self.process_simple_request(data)):
+            self.request_parser.receive(data)
+            self.process_requests()
 
     def is_held_up(self) -> bool:
         """Tell whether the next request has to wait: for a response, or for the client to take some."""
         return self.request is not None or len(self.unsent) > MAX_UNSENT_BYTES
 
     def limit_pipelining(self) -> None:
-        """Read on only while little waits behind a request without a response."""
-        is_full = len(self.parser.trailing_data[0]) > MAX_PIPELINED_BYTES
+        """Read on only while little waits behind a request without a response, or for a turn."""
+        if self.is_deferred and not self.closing:
+            return  # reading is paused, and goes on when the turn has ended
+        is_full = self.request_parser.unparsed_size() > MAX_PIPELINED_BYTES
         if self.closing or not (is_full and self.is_held_up()):
             self.resume_reading()
         elif not self.reading_paused:
@@ -202,7 +217,7 @@
         """
         found = (
             None
-            if self.parser.trailing_data[0]
+            if self.request_parser.unparsed_size()
             else buffers.parse_simple_message(buffers.SIMPLE_REQUEST, data)
         )
         if found is None or not any(name == b"host" for name, _ in found[1]):
@@ -210,7 +225,7 @@
         start_line, self.headers, body = found
         self.method = start_line[1]
         self.target = start_line[2]
-        self.body_parts = []
+        self.body = bytearray()
         self.receiving = False
         self.parsed_simply = True
         try:
@@ -248,57 +263,66 @@
             budget.clients += 1
         self.pool_budget = budget
 
-    def append_body(self, data: bytes) -> None:
+    def append_body(self, data: bytes | bytearray) -> None:
         """Add to the request's body, within its largest size and the pool's budget for bodies."""
         if not data or self.routing_error:
             return
-        if self.body_size + len(data) > MAX_REQUEST_BODY_BYTES:
+        if len(self.body) + len(data) > MAX_REQUEST_BODY_BYTES:
             raise RequestError(413, "body too large")
         if self.body_budget is None and self.destination:
             self.body_budget = self.destination[0].pool.budget
         if self.body_budget is None or not self.body_budget.request_bytes.acquire(len(data)):
             raise RequestError(503, "too many bodies at once")
-        self.body_size += len(data)
-        self.body_parts.append(data)
+        self.body += data
 
     def process_requests(self) -> None:
-        """Process what has arrived, until a request waits for its response."""
-        self.parse_requests()
+        """Process what has arrived, until a request waits for its response or the turn is over."""
+        turn = Turn()
+        while not (self.closed or self.closing or self.is_held_up()):
+            if turn.is_over() and self.request_parser.unparsed_size():
+                self.defer_parsing()
+                break
+            if not self.process_next_event():
+                break
         self.limit_pipelining()
 
-    def parse_requests(self) -> None:
-        """Parse what has arrived, and process requests until one waits for its response."""
+    def parse_received(self) -> None:
+        """Go on where the last turn ended."""
+        self.process_requests()
+
+    def process_next_event(self) -> bool:
+        """Process the next part of a request; return False if more has to arrive first."""
+        self.is_parsing = True
         try:
-            while not self.closed and not self.closing and not self.is_held_up():
-                if not self.head_parsed:
-                    buffers.check_head(self.parser)
-                event = self.parser.next_event()
-                if isinstance(event, h11.Request):
-                    self.start_request(event)
-                elif isinstance(event, h11.Data):
-                    self.append_body(bytes(event.data))
-                elif isinstance(event, h11.EndOfMessage):
-                    buffers.check_trailers(event)
-                    self.receiving = self.head_parsed = False
-                    self.handle_request()
-                elif self.routing_error:
-                    raise self.routing_error
-                else:
-                    self.receiving = self.head_parsed or bool(self.parser.trailing_data[0])
-                    if self.parser.they_are_waiting_for_100_continue:
-                        go_on = h11.InformationalResponse(status_code=100, headers=[])
-                        self.enqueue(self.parser.send(go_on) or b"")
-                    return
+            event = self.request_parser.next_event()
+            if isinstance(event, h11.Request):
+                self.start_request(event)
+            elif isinstance(event, h11.Data):
+                self.append_body(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self.receiving = False
+                self.handle_request()
+            elif self.routing_error:
+                raise self.routing_error
+            else:
+                self.receiving = self.request_parser.head_parsed or bool(
+                    self.request_parser.unparsed_size()
+                )
+                if interim := self.request_parser.continue_response():
+                    self.enqueue(interim)
+                return False
         except Exception as error:
             self.respond_to_error(error)
+        finally:
+            self.is_parsing = False
+        return True
 
     def start_request(self, request: h11.Request) -> None:
         """Check and route a request whose head h11 has parsed."""
         self.method = request.method
         self.target = request.target
         self.headers = list(request.headers)
-        self.body_parts = []
-        self.head_parsed = True
+        self.body = bytearray()
         buffers.check_framing(self.headers, request.http_version)
         length = next((value for name, value in self.headers if name == b"content-length"), b"0")
         if len(length) > 9 or int(length) > MAX_REQUEST_BODY_BYTES:
@@ -357,7 +381,7 @@
             if any(names.count(name) > 1 for name in fields.once):
                 raise RequestError(400, "a header that may come once came twice")
         check_request(
-            self.method, target, request_class, headers.get(fields.ticket), self.body_size
+            self.method, target, request_class, headers.get(fields.ticket), len(self.body)
         )
         client_id = headers.get(fields.txn, b"")
         if not client_id and not fields.optional:
@@ -425,9 +449,8 @@
         """Write the response to the current request; `close` ends the connection after it."""
         self.request = None
         self.release_body()
-        pipelined = self.parser.trailing_data[0]
         # Requests behind this one are owed their responses first.
-        is_surplus = self.is_unwanted() and not self.has_further_request(pipelined)
+        is_surplus = self.is_unwanted() and not self.has_further_request()
         if is_surplus:
             self.close_reason = (
                 CloseReason.STOPPING if self.frontend.closing else CloseReason.SURPLUS
@@ -435,9 +458,7 @@
         self.closing = close or is_surplus
         # After a request that is incomplete, or with which the client ends the connection, no
         # further request can follow.
-        self.closing = self.closing or not (
-            self.parsed_simply or self.parser.their_state is h11.DONE
-        )
+        self.closing = self.closing or not (self.parsed_simply or self.request_parser.is_whole())
         head = [b"HTTP/1.1 %d %s\r\n" % (status, REASON_PHRASES.get(status, b""))]
         head += [b"%s: %s\r\n" % pair for pair in headers or []]
         if status not in BODILESS_STATUSES:
@@ -448,20 +469,17 @@
         if self.closed or self.closing:
             self.resume_reading()  # to read and drop
             return
-        # h11 only parses here: writing with it costs over twice as much CPU. Since it does not see
-        # the response, each request needs a new parser.
+        # h11 only parses here: writing with it costs over twice as much CPU.
         if not self.parsed_simply:
-            self.parser = h11.Connection(h11.SERVER)
-            if pipelined:
-                self.parser.receive_data(pipelined)
+            self.request_parser.start_next()
         self.parsed_simply = False
-        if pipelined:
+        if self.request_parser.unparsed_size() and not self.is_parsing:
             # Dispatched, since a response may be written in the middle of a policy decision.
             self.loop.dispatch(self.loop, self.process_requests)
 
-    def has_further_request(self, pipelined: bytes) -> bool:
+    def has_further_request(self) -> bool:
         """Tell whether a request has arrived behind the present one: whole, or with part of it unread."""
-        if buffers.begins_with_whole_request(pipelined):
+        if buffers.begins_with_whole_request(self.request_parser.unparsed()):
             return True
         return self.reading_paused and bool(self.peek())
 
@@ -472,9 +490,8 @@
     def release_body(self) -> None:
         """Drop the request's body and release its bytes."""
         if self.body_budget:
-            self.body_budget.request_bytes.release(self.body_size)
-        self.body_parts = []
-        self.body_size = 0
+            self.body_budget.request_bytes.release(len(self.body))
+        self.body = bytearray()
         self.body_budget = None
 
     def enqueue(self, data: bytes) -> None:
@@ -490,9 +507,7 @@
         super().flush()
         if self.closing and not self.unsent and not self.closed:
             self.half_close()
-        elif (
-            was_held_up and not (self.is_held_up() or self.closed) and self.parser.trailing_data[0]
-        ):
+        elif was_held_up and not (self.is_held_up() or self.closed or self.is_parsing):
             self.loop.dispatch(self.loop, self.process_requests)
 
     def half_close(self) -> None:
@@ -515,13 +530,15 @@
                 self.has_disconnected()  # which is no event while nothing is read
             return  # the request's deadline limits the wait
         waited = now - self.state_since
-        if self.unsent or self.receiving:
+        if self.is_deferred:
+            self.has_disconnected()  # it is not the client that is waited for
+        elif self.unsent or self.receiving:
             if waited > MESSAGE_TIMEOUT_NS:
                 log.warning(
                     "slow_client",
                     reading=self.receiving,
                     unsent=len(self.unsent),
-                    body=self.body_size,
+                    body=len(self.body),
                 )
                 if self.unsent:
                     self.close(CloseReason.SLOW_RESPONSE)
--- a/whinpier/runtime/event_loop.py
+++ b/whinpier/runtime/event_loop.py
@@ -20,6 +20,7 @@
 
 from whinpier import log
 from whinpier.policy.decaying_sum import SECOND
+from whinpier.runtime.turn_queue import TurnQueue
 
 # All times and durations are in nanoseconds.
 MS = SECOND // 1000
@@ -54,6 +55,7 @@
         self.wakeup_at = 0
         self.pending_calls: deque[tuple[TimerHost, Callable[..., None], tuple[Any, ...]]] = deque()
         self.running = False
+        self.turns = TurnQueue()
         self.max_lag = 0  # since the last line of metrics
         self.recent_lag = 0  # decays over LAG_MEMORY
         self.recent_lag_at = self.now
