Pools: a request that has ended keeps no head and body until its deadline

Cause: the table of ids and the timer of the deadline keep each request until then, and the request kept its body, whose bytes the budget had released with the response: rate times wait times 60 kB, in no budget.

Change: the end of a request drops head and body; an attempt that is in flight has its own copy of what is not written yet, and those that wait for a connection are dropped before.

--- a/whinpier/http/upstream_connection.py
+++ b/whinpier/http/upstream_connection.py
@@ -106,6 +106,10 @@
     head: bytes  # without `X-Remaining`, which is written per attempt, and the final empty line
     body: bytes
 
+    def release_payload(self) -> None:
+        """Drop head and body; an attempt in flight has written or copied them."""
+        self.head = self.body = b""
+
 
 class HttpAttempt(PoolAttempt):
     """An attempt that waits for a connection or is in flight on one."""
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -71,6 +71,9 @@
     permits: tuple[Permit, ...]
     started: bool  # whether the policy has it
 
+    def release_payload(self) -> None:
+        """Drop what only attempts need: it has ended, and is remembered until its deadline."""
+
     def is_awaited(self) -> bool:
         """Tell whether the client still waits for the response to this request."""
         raise NotImplementedError
@@ -511,6 +514,7 @@
             # cancel attempts in flight is up to the policy, and not allowed for every pool.
             if isinstance(sent, PoolAttempt) and not sent.settled and sent.endpoint.is_unsent(sent):
                 self.stop_waiting(sent, Outcome.NOT_SENT)
+        request.release_payload()
         if self.closing:
             self.check_closed()
 
