HTTP: responses that clients have not taken count in the budget of bodies

What callers saw: a process over its memory limit, killed: 105 MB with 96 allowed in the test, 245 MB of 192 in the first probe, beside 600 clients that asked for a megabyte and took nothing.

Cause: the bytes of a response were counted while it came from the upstream, and released as it was handed to the client; what the client's socket did not take was in no budget, up to a megabyte for each of 600 clients, for two seconds.

Change: what a client has not taken is held in its pool's budget of bodies until it is written or the connection ends; clients without a pool have a share of their own. Where the budget is used up, the client that has been taking its response for longest is closed: it can tell that the response is not whole, and others have theirs. A closed connection drops its buffers at once.

--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -35,7 +35,7 @@
 from whinpier.policy.decaying_sum import SECOND
 from whinpier.policy.model import RequestClass
 from whinpier.runtime.pool import stable_hash
-from whinpier.runtime.resource_budget import PoolBudget
+from whinpier.runtime.resource_budget import Holding, PoolBudget
 from whinpier.runtime.turn_queue import Turn
 
 if TYPE_CHECKING:
@@ -149,6 +149,7 @@
         self.state_since = frontend.loop.clock()  # when its current wait began
         self.pool_budget: PoolBudget | None = None  # of the pool that got its last request
         self.unsent = memoryview(b"")
+        self.unsent_bytes = Holding()
         self.receiving = False  # part of a request has arrived
         self.is_parsing = False  # a response that is written now is followed by the next request
         self.closing = False  # no further request is processed
@@ -498,13 +499,31 @@
         """Write now, or after what the socket has not taken yet."""
         if self.unsent:
             self.unsent = memoryview(bytes(self.unsent) + data)
-            return
-        self.write(data)
+        else:
+            self.write(data)
+        if self.unsent and not self.closed:
+            self.hold_unsent_bytes()
+
+    def hold_unsent_bytes(self) -> None:
+        """Count the response in its pool's budget while the client has not taken all of it.
+
+        If the budget is used up, the client that has been taking its response for longest is
+        closed, which may be this one.
+        """
+        budget = self.frontend.budget
+        share = self.pool_budget.bodies if self.pool_budget else budget.unrouted_bodies
+        # A view keeps all of its bytes, also those that the socket has taken.
+        while not self.closed and not self.unsent_bytes.resize(
+            share, memoryview(self.unsent.obj).nbytes
+        ):
+            self.frontend.close_slowest_reader()
 
     def flush(self) -> None:
         """Write what the socket takes; then half-close after the last response, or go on."""
         was_held_up = self.is_held_up()
         super().flush()
+        if not self.unsent:
+            self.unsent_bytes.release()
         if self.closing and not self.unsent and not self.closed:
             self.half_close()
         elif was_held_up and not (self.is_held_up() or self.closed or self.is_parsing):
@@ -603,6 +622,9 @@
                 receiving=self.receiving,
             )
         self.release_body()
+        self.unsent = memoryview(b"")
+        self.unsent_bytes.release()
+        self.request_parser.clear()
         self.count_in_pool(None)
         self.frontend.remove_client(self)
         self.close_socket()
--- a/whinpier/http/listener.py
+++ b/whinpier/http/listener.py
@@ -104,6 +104,13 @@
                 client.close(CloseReason.SURPLUS)
                 return
 
+    def close_slowest_reader(self) -> None:
+        """Close the client that has been taking a response for longest: memory is for others too."""
+        readers = (client for client in self.clients if client.unsent)
+        slowest = min(readers, key=lambda client: client.state_since)
+        log.warning("slow_client", reading=False, unsent=len(slowest.unsent))
+        slowest.close(CloseReason.SLOW_RESPONSE)
+
     def longest_idle(self, before: int) -> Iterator[ClientConnection]:
         """Yield clients that have been idle since before this time.
 
--- a/whinpier/runtime/resource_budget.py
+++ b/whinpier/runtime/resource_budget.py
@@ -109,6 +109,38 @@
             self.resource.shares.remove(self)
 
 
+class Holding:
+    """What one owner has taken of a share, changed and given back as a whole."""
+
+    __slots__ = ("amount", "share")
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self.share: ResourceShare | None = None
+        self.amount = 0
+
+    def resize(self, share: ResourceShare, amount: int) -> bool:
+        """Hold `amount` of this share, and nothing of another; False, with no change, if too much."""
+        if share is not self.share:
+            if not share.acquire(amount):
+                return False
+            self.release()
+            self.share = share
+        elif amount > self.amount and not share.acquire(amount - self.amount):
+            return False
+        elif amount < self.amount:
+            share.release(self.amount - amount)
+        self.amount = amount
+        return True
+
+    def release(self) -> None:
+        """Give back all of it."""
+        if self.share:
+            self.share.release(self.amount)
+        self.share = None
+        self.amount = 0
+
+
 class SharedResource:
     """One resource of the process, in any unit."""
 
@@ -196,6 +228,9 @@
         self.bodies = SharedResource(memory // BODY_DIVISOR * 2)  # bytes of response bodies
         # Bytes of request bodies, also of those still being received.
         self.request_bytes = SharedResource(memory // BODY_DIVISOR)
+        # Of clients that no request has brought to a pool yet.
+        self.unrouted_bodies = self.bodies.create_share()
+        self.unrouted_request_bytes = self.request_bytes.create_share()
         self.shedding_updated_at = 0
         # The owners of connections replace these three.
         self.close_unused_client: Callable[[], None] = lambda: None
