HTTP: an idle connection keeps nothing of its last message

What callers saw: with 600 clients that took responses of a megabyte a process of 64 MB held 90 to 120 MB, with no byte unsent and 8 MB in its budget; with those that took nothing 68 MB.

Cause: what is left to be written is a view that is cut as the socket takes it. The last cut is an empty view, and that keeps all the bytes it was cut from: the last response of each client, the last request of each upstream connection. A connection to an upstream also kept its last response, and each client a parser that the simplest requests never use.

Change: nothing left is one empty view of nothing; a connection drops its response with its attempt; closed connections drop parser, headers and buffers; the parser is made when it is needed. Response bodies are one bytearray instead of thousands of parts.

Evidence: test_idle_connections_hold_nothing_of_their_last_messages failed before and passes.

--- a/tests/http/test_endings.py
+++ b/tests/http/test_endings.py
@@ -442,6 +442,29 @@
             assert (await harness.read(client, b"done")).startswith(b"HTTP/1.1 200")
 
 
+async def test_idle_connections_hold_nothing_of_their_last_messages():
+    """Guards against memory for the last response of each client and the last request of each upstream."""
+    body = b"x" * 300_000
+    async with running_harness() as harness:
+        client = harness.client(request())
+        upstream, _ = await harness.accept_attempt()
+        connection = next(iter(harness.frontend.clients))
+        outbound = next(iter(harness.pool.endpoints["s-0"].connections))
+        with anyio.fail_after(LIMIT):
+            response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+            while response:
+                try:
+                    response = response[upstream.send(response) :]
+                except BlockingIOError:
+                    await anyio.sleep(0)
+        assert (await harness.read(client, body[-100_000:])).startswith(b"HTTP/1.1 200")
+        await harness.until(lambda: connection.is_idle() and not outbound.attempt)
+        assert memoryview(connection.unsent.obj).nbytes == 0
+        assert memoryview(outbound.unsent.obj).nbytes == 0
+        assert not outbound.response.body
+        assert harness.pool.budget.bodies.used == 0
+
+
 async def test_connection_holds_no_method_of_its_own():
     """Guards against connections that refer to themselves: collecting them stops the loop for long."""
     async with running_harness() as harness:
--- a/whinpier/http/buffers.py
+++ b/whinpier/http/buffers.py
@@ -41,6 +41,8 @@
 # Events of a request that are parsed only to see whether it is whole.
 MAX_EVENTS_AHEAD = 64
 
+NOTHING = memoryview(b"")
+
 _spare_buffers: list[bytearray] = []
 
 
@@ -312,7 +314,9 @@
     def flush(self) -> None:
         """Write as many of the unsent bytes as the socket takes."""
         try:
-            self.unsent = self.unsent[self.sock.send(self.unsent) :]
+            unsent = self.unsent[self.sock.send(self.unsent) :]
+            # An empty view would keep all that has been sent.
+            self.unsent = unsent if unsent else NOTHING
         except BlockingIOError:
             pass
         except OSError:
--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -108,7 +108,7 @@
     def respond(self, response: UpstreamResponse) -> None:
         """Forward an upstream's response to the client."""
         headers = [pair for pair in response.headers if pair[0] not in UNFORWARDED_HEADERS]
-        self.client.send_response(response.status, b"".join(response.parts), headers)
+        self.client.send_response(response.status, response.body, headers)
 
     def respond_rejected(self, wait: int) -> None:
         """Respond 503 with `Retry-After`; `wait` is in nanoseconds, 0: without the header."""
@@ -148,7 +148,7 @@
         # Of the connection:
         self.state_since = frontend.loop.clock()  # when its current wait began
         self.pool_budget: PoolBudget | None = None  # of the pool that got its last request
-        self.unsent = memoryview(b"")
+        self.unsent = buffers.NOTHING
         self.unsent_bytes = Holding()
         self.receiving = False  # part of a request has arrived
         self.is_parsing = False  # a response that is written now is followed by the next request
@@ -443,7 +443,7 @@
     def send_response(
         self,
         status: int,
-        body: bytes,
+        body: bytes | bytearray,
         headers: list[tuple[bytes, bytes]] | None = None,
         close: bool = False,
     ) -> None:
@@ -622,9 +622,11 @@
                 receiving=self.receiving,
             )
         self.release_body()
-        self.unsent = memoryview(b"")
+        self.unsent = buffers.NOTHING
         self.unsent_bytes.release()
         self.request_parser.clear()
+        self.headers = []
+        self.header_map = {}
         self.count_in_pool(None)
         self.frontend.remove_client(self)
         self.close_socket()
--- a/whinpier/http/request_parser.py
+++ b/whinpier/http/request_parser.py
@@ -20,7 +20,7 @@
     def __init__(self) -> None:
         """Start with nothing received."""
         self.received = bytearray()  # what h11 has not been given
-        self.parser = h11.Connection(h11.SERVER)
+        self.parser: h11.Connection | None = None  # once there is a request to parse
         self.head_parsed = False
         self.is_chunked = False
 
@@ -28,13 +28,17 @@
         """Take bytes that have arrived."""
         self.received += data
 
+    def given_unparsed(self) -> bytes:
+        """Return the bytes that h11 has been given and that belong to no event yet."""
+        return self.parser.trailing_data[0] if self.parser else b""
+
     def unparsed(self) -> bytes:
         """Return the bytes that belong to no event yet."""
-        return self.parser.trailing_data[0] + bytes(self.received)
+        return self.given_unparsed() + bytes(self.received)
 
     def unparsed_size(self) -> int:
         """Return the number of bytes that belong to no event yet."""
-        return len(self.parser.trailing_data[0]) + len(self.received)
+        return len(self.given_unparsed()) + len(self.received)
 
     def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """Return the next event, or h11's NEED_DATA.
@@ -42,10 +46,11 @@
         Raise `h11.RemoteProtocolError` for an invalid request, and `HeadTooLargeError` for a head
         or trailers over the limits.
         """
+        parser = self.parser = self.parser or h11.Connection(h11.SERVER)
         while True:
             if not self.head_parsed:
-                buffers.check_head(self.parser)
-            event = self.parser.next_event()
+                buffers.check_head(parser)
+            event = parser.next_event()
             if isinstance(event, h11.Request):
                 self.head_parsed = True
                 self.is_chunked = any(name == b"transfer-encoding" for name, _ in event.headers)
@@ -55,36 +60,36 @@
             if event is not h11.NEED_DATA:
                 return event
             if self.is_chunked:
-                buffers.check_incomplete_trailers(self.parser.trailing_data[0])
+                buffers.check_incomplete_trailers(parser.trailing_data[0])
             if not self.received:
                 return event
-            self.feed()
+            self.feed(parser)
 
-    def feed(self) -> None:
+    def feed(self, parser: h11.Connection) -> None:
         """Give h11 more of what has been received; all of it within a body of known length."""
         size = len(self.received) if self.head_parsed and not self.is_chunked else FEED_BYTES
-        self.parser.receive_data(bytes(self.received[:size]))
+        parser.receive_data(bytes(self.received[:size]))
         del self.received[:size]
 
     def is_whole(self) -> bool:
         """Tell whether the current request has been parsed to its end and another may follow."""
-        return self.parser.their_state is h11.DONE
+        return self.parser is not None and self.parser.their_state is h11.DONE
 
     def start_next(self) -> None:
         """Begin with the next request, of which a part may have been received."""
         # h11 does not see the response, so that each request needs a new parser.
-        self.received[:0] = self.parser.trailing_data[0]
-        self.parser = h11.Connection(h11.SERVER)
+        self.received[:0] = self.given_unparsed()
+        self.parser = None
         self.head_parsed = False
         self.is_chunked = False
 
     def clear(self) -> None:
         """Drop what has been received."""
-        self.received.clear()
-        self.parser = h11.Connection(h11.SERVER)
+        self.received = bytearray()
+        self.parser = None
 
     def continue_response(self) -> bytes:
         """Return the interim response that the client waits for, if it does."""
-        if not self.parser.they_are_waiting_for_100_continue:
+        if self.parser is None or not self.parser.they_are_waiting_for_100_continue:
             return b""
         return self.parser.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
--- a/whinpier/http/upstream_connection.py
+++ b/whinpier/http/upstream_connection.py
@@ -62,7 +62,7 @@
 class UpstreamResponse:
     """The response to one attempt, as far as it has arrived."""
 
-    __slots__ = ("headers", "interim_count", "parts", "size", "status")
+    __slots__ = ("body", "headers", "interim_count", "size", "status")
 
     def __init__(self) -> None:
         """Begin with an empty response of status 0."""
@@ -70,7 +70,7 @@
         self.size = 0  # bytes of the body that are counted in the pool's budget
         self.interim_count = 0
         self.headers: list[tuple[bytes, bytes]] = []
-        self.parts: list[bytes] = []  # of the body
+        self.body = bytearray()
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first header of this lower-case name."""
@@ -282,7 +282,7 @@
         self.parser: h11.Connection | None = None  # for responses not in the simplest form
         self.attempt: HttpAttempt | None = None
         self.response = UpstreamResponse()
-        self.unsent = memoryview(b"")
+        self.unsent = buffers.NOTHING
         self.state_since = 0  # since when it is idle
         self.progress_at = 0  # when the last bytes of the response arrived; 0: none yet
         self.connected = False
@@ -421,7 +421,7 @@
         if response.header(b"content-length") is None:
             return False
         response.status = int(start_line[1])
-        response.parts = [body]
+        response.body = bytearray(body)
         self.finish_response(reusable=True)
         return True
 
@@ -453,7 +453,7 @@
             ):
                 response.size -= len(event.data)
                 raise h11.RemoteProtocolError("body too large")
-            response.parts.append(bytes(event.data))
+            response.body += event.data
         elif isinstance(event, h11.EndOfMessage):
             buffers.check_trailers(event)
             parser = self.parser
@@ -473,7 +473,8 @@
 
     def finish_response(self, reusable: bool) -> None:
         """Settle the attempt of a whole response; keep the connection if it is reusable."""
-        attempt, response = self.detach_attempt(), self.response
+        response = self.response
+        attempt = self.detach_attempt()
         assert attempt is not None
         outcome = response.outcome(self.pool.spec.passed_on)
         if self.unsent and outcome != Outcome.OVERLOADED:
@@ -492,6 +493,8 @@
             if self.response.size:
                 self.pool.budget.bodies.release(self.response.size)
             attempt.connection = None
+            # An idle connection would keep the response until its next one.
+            self.response = UpstreamResponse()
         return attempt
 
     def close(self) -> None:
@@ -513,6 +516,9 @@
             self.endpoint.ensure_connections()
         if attempt := self.detach_attempt():
             self.pool.settle(attempt, Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
+        # Timers refer to closed connections until they are due.
+        self.parser = None
+        self.unsent = buffers.NOTHING
         self.pool.context.budget.on_descriptor_freed()
 
     def abandon(self) -> None:
