HTTP: heads and unparsed bytes count in the budget, and the slowest request makes way

Where halves of large requests held the budget, the newcomer was refused.

Cause: only bytes of bodies were counted. What lay unparsed (64 KiB each), parsed heads (some 300 bytes a field beside their text) and copies of head and body that stayed with the connection while its request was in flight were in no budget.

Change: a connection holds one amount for head, body and unparsed bytes of the request that arrives; clients without a route have a share of their own. Where the budget is used up, the request that has been arriving for longest is refused with 503, which may be the newcomer's own. A request that is handed on leaves nothing with its connection; after the last response the parser is dropped.

--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -51,6 +51,8 @@
 MAX_DISCARDED_BYTES = 256 * 1024
 # Pipelined behind a request without a response; beyond that nothing is read until it has one.
 MAX_PIPELINED_BYTES = 8 * 1024
+# That a parsed header field takes beside its bytes: objects in a list and in a map.
+FIELD_OVERHEAD_BYTES = 300
 # Responses that the client has not taken; beyond that no further request of it is processed.
 MAX_UNSENT_BYTES = 64 * 1024
 DECIMAL_NUMBER = re.compile(rb"[+-]?[0-9]{1,20}(\.[0-9]{0,20})?|[+-]?\.[0-9]{1,20}")
@@ -142,7 +144,8 @@
         # Why no route was found, if the client may go on using the connection.
         self.routing_error: RequestError | None = None
         self.request: HttpRequest | None = None  # accepted by the pool and without a response
-        self.body_budget: PoolBudget | None = None  # that the body's bytes are counted in
+        self.head_bytes = 0  # that the parsed head takes
+        self.request_bytes = Holding()
         self.parsed_simply = False  # without h11
         # Of the connection:
         self.state_since = frontend.loop.clock()  # when its current wait began
@@ -269,12 +272,25 @@
             return
         if len(self.body) + len(data) > MAX_REQUEST_BODY_BYTES:
             raise RequestError(413, "body too large")
-        if self.body_budget is None and self.destination:
-            self.body_budget = self.destination[0].pool.budget
-        if self.body_budget is None or not self.body_budget.request_bytes.acquire(len(data)):
+        if self.destination is None or not self.hold_request_bytes(len(data)):
             raise RequestError(503, "too many bodies at once")
         self.body += data
 
+    def hold_request_bytes(self, more: int = 0) -> bool:
+        """Count what this client's request takes, and `more`; return False if that is too much.
+
+        Where the budget is used up, requests that have been arriving for longest are refused first.
+        """
+        if self.destination:
+            share = self.destination[0].pool.budget.request_bytes
+        else:
+            share = self.frontend.budget.unrouted_request_bytes
+        size = self.head_bytes + len(self.body) + self.request_parser.unparsed_size() + more
+        while not self.request_bytes.resize(share, size):
+            if not self.frontend.refuse_slowest_request(self):
+                return False
+        return True
+
     def process_requests(self) -> None:
         """Process what has arrived, until a request waits for its response or the turn is over."""
         turn = self.loop.turns.begin_turn()
@@ -284,6 +300,8 @@
                 break
             if not self.process_next_event():
                 break
+        if self.receiving and not self.closing and not self.hold_request_bytes():
+            self.reject_request(RequestError(503, "too many requests arriving at once"))
         self.limit_pipelining()
 
     def parse_received(self) -> None:
@@ -327,6 +345,9 @@
         length = next((value for name, value in self.headers if name == b"content-length"), b"0")
         if len(length) > 9 or int(length) > MAX_REQUEST_BODY_BYTES:
             raise RequestError(413, "body too large")
+        self.head_bytes = sum(
+            len(name) + len(value) + FIELD_OVERHEAD_BYTES for name, value in self.headers
+        )
         self.find_route()
 
     def handle_request(self) -> None:
@@ -371,6 +392,7 @@
             pool.retry_after = 0
             return
         self.request = request
+        self.drop_parsed_request()
         pool.accept(request, pool.granted_permits)
 
     def create_request(self, target: RouteTarget, request_class: RequestClass) -> HttpRequest:
@@ -448,7 +470,7 @@
     ) -> None:
         """Write the response to the current request; `close` ends the connection after it."""
         self.request = None
-        self.release_body()
+        self.release_request()
         # Requests behind this one are owed their responses first.
         is_surplus = self.is_unwanted() and not self.has_further_request()
         if is_surplus:
@@ -467,6 +489,7 @@
         self.state_since = self.loop.clock()
         self.enqueue(b"".join((*head, body)))
         if self.closed or self.closing:
+            self.request_parser.clear()
             self.resume_reading()  # to read and drop
             return
         # h11 only parses here: writing with it costs over twice as much CPU.
@@ -487,12 +510,17 @@
         """Tell whether the connection should not be kept, as the process stops or is crowded."""
         return self.frontend.closing or self.frontend.is_crowded(self.pool_budget)
 
-    def release_body(self) -> None:
-        """Drop the request's body and release its bytes."""
-        if self.body_budget:
-            self.body_budget.request_bytes.release(len(self.body))
+    def release_request(self) -> None:
+        """Drop the request's head and body, and release their bytes."""
+        self.drop_parsed_request()
+        self.request_bytes.release()
+
+    def drop_parsed_request(self) -> None:
+        """Drop the request's head and body; those that go to an upstream count as before."""
+        self.headers = []
+        self.header_map = {}
+        self.head_bytes = 0
         self.body = bytearray()
-        self.body_budget = None
 
     def enqueue(self, data: bytes) -> None:
         """Write now, or after what the socket has not taken yet."""
@@ -620,12 +648,10 @@
                 unsent=len(self.unsent),
                 receiving=self.receiving,
             )
-        self.release_body()
+        self.release_request()
         self.unsent = buffers.NOTHING
         self.unsent_bytes.release()
         self.request_parser.clear()
-        self.headers = []
-        self.header_map = {}
         self.count_in_pool(None)
         self.frontend.remove_client(self)
         self.close_socket()
--- a/whinpier/http/listener.py
+++ b/whinpier/http/listener.py
@@ -14,7 +14,7 @@
 
 from whinpier import log
 from whinpier.http.client_connection import ClientConnection, CloseReason
-from whinpier.http.platform_routes import Router
+from whinpier.http.platform_routes import RequestError, Router
 from whinpier.policy.decaying_sum import SECOND
 from whinpier.runtime.pool import Pool
 from whinpier.runtime.process import SWEEP_INTERVAL, Process, RejectionReason
@@ -104,6 +104,18 @@
                 client.close(CloseReason.SURPLUS)
                 return
 
+    def refuse_slowest_request(self, requester: ClientConnection) -> bool:
+        """Refuse the request that has been arriving for longest, for one that arrives now.
+
+        Return False if that is the requester's own.
+        """
+        arriving = (client for client in self.clients if client.receiving and not client.closing)
+        slowest = min(arriving, key=lambda client: client.state_since, default=requester)
+        if slowest is requester:
+            return False
+        slowest.reject_request(RequestError(503, "too many requests arriving at once"))
+        return True
+
     def close_slowest_reader(self) -> None:
         """Close the client that has been taking a response for longest: memory is for others too."""
         readers = (client for client in self.clients if client.unsent)
--- a/whinpier/testbed/hostile_clients.py
+++ b/whinpier/testbed/hostile_clients.py
@@ -80,6 +80,7 @@
     "many_trailers": Kind(
         lambda name: chunked(name, b"a", 1) + b"0\r\n" + b"a:\r\n" * LINES, False
     ),
+    "many_chunks": Kind(lambda name: chunked(name, b"ab", CHUNKS), False),
     "slow_chunks": Kind(lambda name: chunked(name, b"ab", CHUNKS), False, bytes_a_round=200),
     "slow_bodies": Kind(lambda name: request(name, size=65_000), False, bytes_a_round=300),
     "unread_responses": Kind(request, False, reads=False),
