HTTP: nothing begins for a client whose end is hidden behind unread bytes

Cause: the end of a connection lies behind all that the client has sent. A peek that found a byte was taken for a client that is there, and a request parsed behind another was not checked at all. Where the system's buffer is full the end has not even arrived: retries for such a client began long after it had left. An attempt that waited for its connection was written without a look. An id was known until the deadline that the request itself names, however short, though what was out could still run.

Change: where bytes are unread, poll says whether the client's end or a reset has come (each response to a client that has left brings one); a request parsed behind another and an attempt whose connection comes up are checked too. With 16 KiB or more unread, no attempt begins later than 0.05 s after its request was parsed: the request ends with the attempt in flight, or is refused or failed. An id that may have run is refused for as long as its class waits; one of which nothing was sent on is free at once.

--- a/whinpier/http/buffers.py
+++ b/whinpier/http/buffers.py
@@ -305,6 +305,16 @@
         except OSError:
             return b""
 
+    def unread_size(self, limit: int) -> int:
+        """Return how many bytes are unread, up to `limit` of BUFFER_BYTES at the most."""
+        buffer = acquire_buffer()
+        try:
+            return self.sock.recv_into(buffer, limit, socket.MSG_PEEK)
+        except OSError:
+            return 0
+        finally:
+            release_buffer(buffer)
+
     def has_peer_closed(self) -> bool:
         """Tell whether the peer has closed its side, also where bytes before that are unread."""
         poller = select.poll()
--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -51,6 +51,12 @@
 MAX_DISCARDED_BYTES = 256 * 1024
 # Pipelined behind a request without a response; beyond that nothing is read until it has one.
 MAX_PIPELINED_BYTES = 8 * 1024
+# Unread bytes, above which the end of a connection may not have arrived: a quarter of what Linux
+# takes for a connection at first.
+HIDING_BYTES = 16 * 1024
+# After that, no attempt begins for a client whose end may not have arrived. By the platform's rules one may
+# begin until 0.1 s after the client has closed.
+MAX_HIDDEN_NS = SECOND // 20
 # That a parsed header field takes beside its bytes: objects in a list and in a map.
 FIELD_OVERHEAD_BYTES = 300
 # Responses that the client has not taken; beyond that no further request of it is processed.
@@ -106,6 +112,10 @@
         """Tell whether the client has closed its connection."""
         return self.client.has_disconnected()
 
+    def is_client_hidden(self, now: int) -> bool:
+        """Tell whether its client may have left for some time, and that could not be seen."""
+        return now > self.arrived_at + MAX_HIDDEN_NS and self.client.may_have_left_unseen()
+
     def respond(self, response: UpstreamResponse) -> None:
         """Forward an upstream's response to the client."""
         headers = [pair for pair in response.headers if pair[0] not in UNFORWARDED_HEADERS]
@@ -353,6 +363,9 @@
     def handle_request(self) -> None:
         """Process a whole request: a health check, or a request for a pool."""
         self.frontend.new_clients.pop(self, None)
+        # Behind earlier requests, the end of the connection may have come long ago.
+        if not self.parsed_simply and self.has_disconnected():
+            return
         if self.routing_error:
             raise self.routing_error
         if self.destination is None:
@@ -624,12 +637,22 @@
 
     def has_disconnected(self) -> bool:
         """Tell whether the client has closed its connection, even if that was not read yet."""
-        if not self.closed and (
-            self.has_peer_closed() if self.reading_paused else self.peek() == b""
-        ):
-            self.close()
+        if not self.closed and self.has_peer_left():
+            self.close(CloseReason.PEER)
         return self.closed
 
+    def has_peer_left(self) -> bool:
+        """Tell whether the client's end has arrived, also behind bytes that are unread."""
+        unread = self.peek()
+        return unread == b"" or (unread is not None and self.has_peer_closed())
+
+    def may_have_left_unseen(self) -> bool:
+        """Tell whether so much is unread that the client's end may not have arrived.
+
+        The system takes no more than fits its buffer, and the end comes behind all that was sent.
+        """
+        return self.reading_paused and self.unread_size(HIDING_BYTES) >= HIDING_BYTES
+
     def close(self, reason: CloseReason | None = None) -> None:
         """Close the connection, and tell the pool of a request in flight.
 
--- a/whinpier/http/upstream_connection.py
+++ b/whinpier/http/upstream_connection.py
@@ -238,9 +238,20 @@
             return
         connection.state_since = self.loop.clock()
         self.idle.append(connection)
+        self.drop_abandoned_attempts()
         if self.waiting:
             self.send(self.waiting.popleft())
 
+    def drop_abandoned_attempts(self) -> None:
+        """Settle the attempts that have waited longest and whose clients have left, or may have."""
+        while self.waiting:
+            attempt = self.waiting[0]
+            # A disconnect ends the request, and with it the attempt.
+            if not attempt.outbound.client_disconnected():
+                if not attempt.outbound.is_client_hidden(self.loop.clock()):
+                    return
+                self.pool.settle(self.waiting.popleft(), Outcome.NOT_SENT)
+
     def on_connect_failed(self) -> None:
         """Fail the attempt that has waited longest, unless other connections will serve it."""
         if len(self.waiting) > self.connecting_count + self.reuse_delayed_count:
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -65,7 +65,8 @@
 class PendingRequest(Request):
     """A request whose client waits; each protocol implements how the response is written."""
 
-    __slots__ = ("client_id", "permits", "pool", "started")
+    __slots__ = ("abandoned", "client_id", "permits", "pool", "started")
+    abandoned: bool  # its client left without knowing whether it has run
     client_id: bytes  # the id its client gave it, unique among pending requests; empty if none
     pool: Pool
     permits: tuple[Permit, ...]
@@ -86,6 +87,10 @@
         """Check the connection for a disconnect not yet noticed; if there is one, tell the pool."""
         return False
 
+    def is_client_hidden(self, now: int) -> bool:
+        """Tell whether its client may have left for some time, and that could not be seen."""
+        return False
+
     def respond(self, answer: Any) -> None:
         """Write the final response: the one of the upstream."""
         raise NotImplementedError
@@ -309,9 +314,10 @@
             upstream.state == UpstreamState.READY, "an attempt starts only at a ready endpoint"
         )
         # A late loop decides before it reads that the client has disconnected.
-        limiters = () if request.client_disconnected() else upstream.limiters
+        self.end_without_client(request)
+        limiters = () if request.ended else upstream.limiters
         permits = self.acquire_permits(limiters, self.now, request.deadline) if limiters else ()
-        if permits is None or request.ended:
+        if permits is None or request.ended or request.is_client_hidden(self.now):
             # A limit has been reached, or the request has ended, since the policy decided.
             sent = PoolAttempt(request, upstream, self.now)
             request.attempts.append(sent)
@@ -330,6 +336,19 @@
             self.loop.call_at(stop_at, self, self.stop_waiting, sent, Outcome.TIMED_OUT)
         return sent
 
+    def end_without_client(self, request: PendingRequest) -> None:
+        """End a request for which no attempt may begin, as its client has left or may have."""
+        if request.client_disconnected() or request.ended:
+            return
+        if not request.is_client_hidden(self.now):
+            return
+        if any(sent.outcome is None for sent in request.attempts):
+            return  # it ends with the one in flight
+        if all(sent.outcome in NEVER_RAN for sent in request.attempts):
+            self.reject(request)
+        else:
+            self.fail(request)
+
     def cancel(self, attempt: Attempt) -> None:
         """Stop waiting for an attempt."""
         self.stop_waiting(attempt, Outcome.CANCELLED)
@@ -464,6 +483,7 @@
         """
         request.permits = permits
         request.started = False
+        request.abandoned = False
         self.in_flight += 1
         self.counts["tasks"] += 1
         request.pool = self
@@ -535,9 +555,20 @@
         # Requests and attempts refer to each other: without this they would pile up until a full
         # garbage collection, which stops the loop for long.
         request.attempts.clear()
-        self.context.ids.pop(request.client_id or request.id, None)
+        known_until = request.arrived_at + request.request_class.timeout
+        if request.abandoned and known_until > self.now:
+            # Its client may send it again, and what is out may run for as long as its class waits.
+            self.loop.call_at(known_until, self, self.forget, request)
+        else:
+            self.forget(request)
         log.invariant(not is_overdue, "the policy ends each request by its deadline")
 
+    def forget(self, request: PendingRequest) -> None:
+        """Let another request have its id."""
+        key = request.client_id or request.id
+        if self.context.ids.get(key) is request:
+            del self.context.ids[key]
+
     def shorten_deadline(self, request: PendingRequest, deadline: int) -> None:
         """End a request earlier than its client's deadline, since the process stops then."""
         if request.deadline > deadline:
@@ -599,10 +630,21 @@
     def on_client_disconnected(self, request: PendingRequest) -> None:
         """End a request whose client no longer waits."""
         if not request.ended:
+            request.abandoned = any(self.may_have_begun(sent) for sent in request.attempts)
             self.end_request(request)
+            if not request.abandoned:
+                self.forget(request)
             self.counts["clients_left"] += 1
             self.loop.dispatch(self, self.policy.on_client_disconnected, request)
 
+    @staticmethod
+    def may_have_begun(attempt: Attempt) -> bool:
+        """Tell whether an attempt may run or have run at its upstream."""
+        assert isinstance(attempt, PoolAttempt)
+        if attempt.outcome is None:
+            return not attempt.endpoint.is_unsent(attempt)
+        return attempt.outcome not in NEVER_RAN
+
     # Endpoints.
 
     def update_endpoints(self, entries: Iterable[Entry], whole: bool, cached: bool = False) -> None:
