Pools: a new process at the address of one that has gone replaces it at once

Cause: the list names processes, connections go to addresses. A list tells of a new process within a second or two, and that the old one has gone only seconds later; meanwhile both were ready, and the cold one got the share of the warm one, without its slow start, and retries of the other's requests.

Change: of the endpoints at one address the one that started last is used, where both starts are known, or else the one that the list named there last; the others are removed until the list gives them an address of their own. Two that one list names at one address at first are both used: nothing says which has replaced the other. endpoint_superseded is logged.

Whether a report's process met this is not known: its lists hold no such pair.

--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -123,6 +123,8 @@
     address: Address
     listed_state: UpstreamState = UpstreamState.READY  # as the endpoint list has it
     limiters: tuple[Limiter, ...] = ()  # for each attempt at it
+    address_since = 0  # the change of the list that gave it its address
+    is_superseded = False  # another process has its address
     max_connections: int | None = None  # by a limit of the fleet, beside the process's own
 
     def start_attempt(self, request: PendingRequest) -> PoolAttempt:
@@ -676,6 +678,7 @@
                 )
                 self.ejected_hosts.discard(entry.host)  # it was for an earlier run of the upstream
                 endpoint.warm_up_pacer = self.context.shared_warm_up_pacer(entry)
+                endpoint.address_since = self.list_changes
                 if self.on_endpoint_added:
                     self.on_endpoint_added(endpoint)
             endpoint.listed_state = entry.state
@@ -684,10 +687,13 @@
             endpoint.state = self.state_of(endpoint)
             endpoint.zone = self.position(self.spec.zones, entry.zone)
             endpoint.shape = self.position(self.spec.kinds, entry.shape)
+            if endpoint.address != entry.dial:
+                endpoint.address_since = self.list_changes
             endpoint.set_address(entry.dial)
             listed[entry.host] = endpoint
         before, self.endpoints = self.endpoints, listed
         self.list_changes += 1
+        self.mark_superseded()
         for host, endpoint in before.items():
             if listed.get(host) is not endpoint:
                 endpoint.state = UpstreamState.REMOVED
@@ -701,6 +707,32 @@
         log.info("endpoints_updated", **self.log_fields(), whole=whole, cached=cached, **by_state)
         self.notify_policy()
 
+    def mark_superseded(self) -> None:
+        """Remove endpoints whose address another process has: the list does not know yet."""
+        latest: dict[Address, Endpoint] = {}
+        for endpoint in self.endpoints.values():
+            other = latest.setdefault(endpoint.address, endpoint)
+            if self.is_later(endpoint, other):
+                latest[endpoint.address] = endpoint
+        for endpoint in self.endpoints.values():
+            superseded = self.is_later(latest[endpoint.address], endpoint)
+            if superseded and not endpoint.is_superseded:
+                log.warning(
+                    "endpoint_superseded",
+                    **self.log_fields(),
+                    upstream=endpoint.host,
+                    by=latest[endpoint.address].host,
+                )
+            endpoint.is_superseded = superseded
+            endpoint.state = self.state_of(endpoint)
+
+    @staticmethod
+    def is_later(endpoint: Endpoint, other: Endpoint) -> bool:
+        """Tell whether an endpoint came to its address after another: by its start, or by the list."""
+        if endpoint.started and other.started and endpoint.started != other.started:
+            return endpoint.started > other.started
+        return endpoint.address_since > other.address_since
+
     def notify_policy(self) -> None:
         """Give the policy the ready and draining endpoints."""
         usable = [
@@ -711,7 +743,12 @@
         self.loop.dispatch(self, self.policy.on_endpoints_updated, usable)
 
     def state_of(self, endpoint: Endpoint) -> UpstreamState:
-        """Return the listed state, or draining for a ready one that is ejected or drained."""
+        """Return the listed state, or draining for a ready one that is ejected or drained.
+
+        One whose address another process has is removed.
+        """
+        if endpoint.is_superseded:
+            return UpstreamState.REMOVED
         aside = endpoint.host in self.ejected_hosts or endpoint.host in self.drained_hosts
         return (
             UpstreamState.DRAINING
