HTTP: responses of upstreams are parsed in turns too

Cause: the same mistake as with clients: all that an upstream had sent was parsed in one turn of the event loop, ten thousand events for 64 KiB in chunks of one byte, and trailers of any size in one step.

A response whose parsing was deferred does not count as one that has stopped coming.

--- a/tests/http/test_hostile_clients.py
+++ b/tests/http/test_hostile_clients.py
@@ -133,3 +133,13 @@
     while balancer.memory() > before + (16 << 20):
         assert time.monotonic() < ends, f"{balancer.memory() >> 20} MB of {before >> 20}"
         await anyio.sleep(0.1)
+
+
+async def test_others_are_served_in_time_while_an_upstream_answers_in_one_byte_chunks(
+    balancer, upstreams
+):
+    # Guards against one turn of the event loop that parses all that an upstream has sent.
+    upstreams.tell("s-0", size=200_000, chunk=1)
+    ordinary, peak = await play(balancer, "unsound", 1)
+    check(balancer, ordinary, peak)
+    assert ordinary.latency(0.9) < 0.25
--- a/tests/http/test_request_parser.py
+++ b/tests/http/test_message_parser.py
@@ -4,7 +4,7 @@
 import pytest
 
 from whinpier.http.buffers import MAX_HEAD_LINES, HeadTooLargeError
-from whinpier.http.request_parser import FEED_BYTES, RequestParser
+from whinpier.http.message_parser import FEED_BYTES, RequestParser
 
 CHUNKED = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
 LENGTH = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n" + b"x" * 60_000
--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -18,13 +18,13 @@
 
 from whinpier import log
 from whinpier.http import buffers
+from whinpier.http.message_parser import RequestParser
 from whinpier.http.platform_routes import (
     RequestError,
     RouteTarget,
     check_request,
     query_parameter,
 )
-from whinpier.http.request_parser import RequestParser
 from whinpier.http.upstream_connection import (
     BODILESS_STATUSES,
     MAX_REQUEST_BODY_BYTES,
@@ -333,7 +333,7 @@
             elif self.routing_error:
                 raise self.routing_error
             else:
-                self.receiving = self.request_parser.head_parsed or bool(
+                self.receiving = self.request_parser.is_in_body() or bool(
                     self.request_parser.unparsed_size()
                 )
                 if interim := self.request_parser.continue_response():
--- a/whinpier/http/upstream_connection.py
+++ b/whinpier/http/upstream_connection.py
@@ -20,6 +20,7 @@
 from whinpier import log
 from whinpier.config.model import Address
 from whinpier.http import buffers
+from whinpier.http.message_parser import ResponseParser
 from whinpier.policy.decaying_sum import SECOND
 from whinpier.policy.model import Outcome, UpstreamState
 from whinpier.runtime.pool import Endpoint, PendingRequest, Pool, PoolAttempt
@@ -30,9 +31,6 @@
 MAX_REQUEST_BODY_BYTES = 64 * 1024
 # Some upstreams send valid responses six times as large as the protocol allows.
 MAX_RESPONSE_BODY_BYTES = 1024 * 1024
-# Tells h11 that a response is due. The request itself is written as it arrived, since building it
-# with h11 costs over twice as much CPU.
-PLACEHOLDER_REQUEST = h11.Request(method="GET", target="/", headers=[("host", "upstream")])
 BODILESS_STATUSES = frozenset((204, 304))
 # To one request; more are taken as a protocol error.
 MAX_INTERIM_RESPONSES = 64
@@ -290,7 +288,7 @@
         self.address = endpoint.address
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.parser: h11.Connection | None = None  # for responses not in the simplest form
+        self.response_parser = ResponseParser()  # for responses not in the simplest form
         self.attempt: HttpAttempt | None = None
         self.response = UpstreamResponse()
         self.unsent = buffers.NOTHING
@@ -365,42 +363,49 @@
         data = self.receive()
         if data is None:
             return
-        attempt, parser = self.attempt, self.parser
-        if not data or attempt is None:
+        if not data or self.attempt is None:
             self.close()  # the upstream closed the connection, or sent unrequested bytes
             return
-        if parser is None:
-            if self.finish_simple_response(data):
-                return
-            parser = self.parser = h11.Connection(h11.CLIENT)
-            parser.send(PLACEHOLDER_REQUEST)
-            parser.send(h11.EndOfMessage())
-        parser.receive_data(data)
+        is_first_read = self.response_parser.parser is None
+        if not (is_first_read and self.finish_simple_response(data)):
+            self.response_parser.receive(data)
+            self.parse_received()
+
+    def parse_received(self) -> None:
+        """Parse the response as far as it has arrived, until the turn is over."""
+        attempt, parser = self.attempt, self.response_parser
+        turn = self.loop.turns.begin_turn()
         try:
-            more = True
-            while more:
-                if parser.their_state is h11.SEND_RESPONSE:
-                    buffers.check_head(parser)
-                more = self.process_event(parser.next_event())
+            while self.attempt is not None and self.process_event(parser.next_event()):
+                if turn.is_over() and parser.unparsed_size():
+                    self.defer_parsing()
+                    break
         except h11.RemoteProtocolError as error:
             self.fail_response(error)
             return
-        response_begun = parser.their_state is not h11.SEND_RESPONSE or parser.trailing_data[0]
-        if self.attempt is attempt and response_begun:
-            is_first = not self.progress_at
-            self.progress_at = self.loop.clock()
-            if is_first:
-                self.loop.call_at(
-                    self.progress_at + self.pool.spec.connect_limit,
-                    self.loop,
-                    self.check_progress,
-                    attempt,
-                )
+        if not self.is_deferred:
+            self.resume_reading()
+        if attempt and self.attempt is attempt and parser.has_begun():
+            self.note_progress(attempt)
+
+    def note_progress(self, attempt: HttpAttempt) -> None:
+        """Note that bytes of the response have arrived; after the first, look whether more come."""
+        is_first = not self.progress_at
+        self.progress_at = self.loop.clock()
+        if is_first:
+            self.loop.call_at(
+                self.progress_at + self.pool.spec.connect_limit,
+                self.loop,
+                self.check_progress,
+                attempt,
+            )
 
     def check_progress(self, attempt: HttpAttempt) -> None:
         """Fail a response that has begun and stalled for as long as connecting may take."""
         if self.attempt is not attempt:
             return
+        if self.is_deferred:
+            self.progress_at = self.loop.clock()  # it is not the upstream that is waited for
         self.read()  # an event loop behind its time may have unread bytes
         deadline = self.progress_at + self.pool.spec.connect_limit
         if self.attempt is attempt and deadline > self.loop.clock():
@@ -466,15 +471,7 @@
                 raise h11.RemoteProtocolError("body too large")
             response.body += event.data
         elif isinstance(event, h11.EndOfMessage):
-            buffers.check_trailers(event)
-            parser = self.parser
-            # Surplus bytes would pass for the next request's response.
-            self.finish_response(
-                reusable=parser is not None
-                and not parser.trailing_data[0]
-                and parser.their_state is h11.DONE
-                and parser.our_state is h11.DONE
-            )
+            self.finish_response(reusable=self.response_parser.allows_reuse())
             return False
         else:  # h11 needs more data, or the connection has ended
             if event is not h11.NEED_DATA:
@@ -490,7 +487,7 @@
         outcome = response.outcome(self.pool.spec.passed_on)
         if self.unsent and outcome != Outcome.OVERLOADED:
             outcome = Outcome.CONNECT_FAILED  # the request was not written whole
-        self.parser = None
+        self.response_parser.clear()
         if reusable and not self.unsent:
             self.delay_reuse()
         else:
@@ -528,7 +525,7 @@
         if attempt := self.detach_attempt():
             self.pool.settle(attempt, Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
         # Timers refer to closed connections until they are due.
-        self.parser = None
+        self.response_parser.clear()
         self.unsent = buffers.NOTHING
         self.pool.context.budget.on_descriptor_freed()
 
--- a/whinpier/testbed/upstream.py
+++ b/whinpier/testbed/upstream.py
@@ -45,6 +45,7 @@
     interim: bool = False  # 1xx ahead of the answer
     size: int = 2  # bytes of an answer's body
     pace: float = 0.0  # bytes a second at which bodies go out; 0: at once
+    chunk: int = 0  # bytes of a chunk of an answer's body; 0: it has a length
     accept: bool = True  # False: it takes connections and never reads
     by_header: bool = False  # the client says, in X-Work, how many seconds a request takes
     closes: float = 0.0  # closes the connection behind the answer
@@ -174,6 +175,9 @@
         if script.interim:
             connection.send(b"HTTP/1.1 103 Early Hints\r\n\r\n")
         body = b"x" * script.size if script.size > 2 else b"ok"
+        if script.chunk:
+            connection.reply_in_chunks(body, script.chunk)
+            return
         connection.reply(
             200, body, (("X-By", self.name),), script.pace, self.chance.random() < script.closes
         )
@@ -289,6 +293,15 @@
         if close:
             self.transport.close()
 
+    def reply_in_chunks(self, body: bytes, size: int) -> None:
+        """Answer with a body in chunks of `size` bytes, the last of which may be shorter."""
+        self.answering = False
+        self.ended()
+        pieces = (body[start : start + size] for start in range(0, len(body), size))
+        chunks = b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces)
+        head = b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.send(head + chunks + b"0\r\n\r\n")
+
     def drip(self, body: bytes, pace: float) -> None:
         if self.over:
             return
