HTTP: a system call that fails for a moment costs no answer, nor the process

Cause: an error of the wait for new clients (ENOMEM of epoll_ctl) was outside the loop's try and ended the process. EINTR, ENOBUFS and ENOMEM of recv and send ended the connection, and with it the answer. connect that was interrupted counted as failed. The request to discovery was written with one send, whole or not. A socket whose option could not be set was left to the collector. An error of accept was logged as a fault of the program, with its trace.

Change: one set of transient errors for both sides; connect, send_all and create_tcp_socket stand once in buffers and serve upstreams and discovery; the wait is inside the accept loop; accept_failed is a warning where the system gives the reason.

Evidence: 29 tests with failing calls; before, the wait for clients, the interrupted connect and six of recv and send failed (three more failed for want of the new function alone), and pass.

--- a/whinpier/http/buffers.py
+++ b/whinpier/http/buffers.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 import re
 import select
 import socket
@@ -17,6 +19,7 @@
 import h11
 
 from whinpier import log
+from whinpier.config.model import Address
 from whinpier.runtime.event_loop import EventLoop
 from whinpier.runtime.resource_budget import PoolBudget
 
@@ -43,6 +46,9 @@
 
 NOTHING = memoryview(b"")
 
+# After these a call may succeed in a moment (accept(2), recv(2), send(2)); the connection is in order.
+TRANSIENT_ERRORS = frozenset((errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM))
+
 _spare_buffers: list[bytearray] = []
 
 
@@ -101,6 +107,39 @@
     return start_line, headers, body
 
 
+async def connect(sock: socket.socket, address: Address) -> None:
+    """Connect a non-blocking socket; raise OSError if that fails."""
+    # Interrupted, connecting goes on as if it were in progress (connect(2)).
+    if (code := sock.connect_ex(address)) not in (0, errno.EINPROGRESS, errno.EINTR):
+        raise OSError(code, os.strerror(code))
+    await anyio.wait_writable(sock)
+    if code := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        raise OSError(code, os.strerror(code))
+
+
+async def send_all(sock: socket.socket, data: bytes) -> None:
+    """Write all of some bytes to a non-blocking socket; raise OSError if the connection breaks."""
+    while data:
+        try:
+            data = data[sock.send(data) :]
+        except OSError as error:
+            if error.errno not in TRANSIENT_ERRORS:
+                raise
+        if data:
+            await anyio.wait_writable(sock)
+
+
+def create_tcp_socket() -> socket.socket:
+    """Return a non-blocking socket that sends small writes at once; raise OSError without one."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 class HeadTooLargeError(h11.RemoteProtocolError):
     """A head, or the trailers of a chunked body, over the limit of bytes or lines."""
 
@@ -291,19 +330,15 @@
         """Return what has arrived: None if nothing has, no bytes if the connection has ended."""
         try:
             return receive(self.sock, limit)
-        except BlockingIOError:
-            return None
-        except OSError:
-            return b""
+        except OSError as error:
+            return None if error.errno in TRANSIENT_ERRORS else b""
 
     def peek(self) -> bytes | None:
         """Return the first unread byte without reading it; None and no bytes as for `receive`."""
         try:
             return self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return None
-        except OSError:
-            return b""
+        except OSError as error:
+            return None if error.errno in TRANSIENT_ERRORS else b""
 
     def unread_size(self, limit: int) -> int:
         """Return how many bytes are unread, up to `limit` of BUFFER_BYTES at the most."""
@@ -341,10 +376,9 @@
             unsent = self.unsent[self.sock.send(self.unsent) :]
             # An empty view would keep all that has been sent.
             self.unsent = unsent if unsent else NOTHING
-        except BlockingIOError:
-            pass
-        except OSError:
-            self.close()
+        except OSError as error:
+            if error.errno not in TRANSIENT_ERRORS:
+                self.close()
 
     async def flush_all(self) -> None:
         """Write the unsent bytes as the socket becomes writable."""
--- a/whinpier/http/discovery.py
+++ b/whinpier/http/discovery.py
@@ -196,14 +196,14 @@
     async def connect(self, parser: h11.Connection, query: str) -> None:
         """Connect, and send the request."""
         assert self.sock
-        self.sock.connect_ex(self.address)
-        await anyio.wait_writable(self.sock)
+        await buffers.connect(self.sock, self.address)
         request = h11.Request(
             method="GET",
             target="/discovery/hosts" + query,
             headers=[("host", "discovery"), ("accept", "application/json")],
         )
-        self.sock.send((parser.send(request) or b"") + (parser.send(h11.EndOfMessage()) or b""))
+        head = (parser.send(request) or b"") + (parser.send(h11.EndOfMessage()) or b"")
+        await buffers.send_all(self.sock, head)
 
     async def events(self, parser: h11.Connection) -> AsyncIterator[h11.Event]:
         """Yield the parsed events of the response up to its end."""
@@ -216,7 +216,13 @@
                 await anyio.wait_readable(self.sock)
                 if self.address != address:
                     raise ConnectionAbortedError("discovery has moved")
-                parser.receive_data(buffers.receive(self.sock))
+                try:
+                    data = buffers.receive(self.sock)
+                except OSError as error:
+                    if error.errno in buffers.TRANSIENT_ERRORS:
+                        continue
+                    raise
+                parser.receive_data(data)
             elif isinstance(event, h11.Event):
                 yield event
 
--- a/whinpier/http/listener.py
+++ b/whinpier/http/listener.py
@@ -28,7 +28,7 @@
 MIN_SILENCE_NS = SECOND // 20
 # Seconds to wait for a free descriptor before accepting is tried again.
 DESCRIPTOR_WAIT_S = 0.1
-# Seconds to wait after an unexpected error.
+# Seconds to wait after an error.
 ACCEPT_RETRY_DELAY_S = 0.01
 
 
@@ -160,8 +160,12 @@
         if len(self.clients) >= limit:
             return False
         sock, _ = listener.accept()
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            sock.close()
+            raise
         client = ClientConnection(self, sock)
         self.clients.add(client)
         budget.clients += 1
@@ -172,8 +176,8 @@
     async def accept_clients(self, listener: socket.socket) -> None:
         """Accept clients until the listener is closed; wait while no descriptor is free."""
         while True:
-            await anyio.wait_readable(listener)
             try:
+                await anyio.wait_readable(listener)
                 for _ in range(MAX_ACCEPTS_PER_TURN):
                     if not self.accept_client(listener):
                         break
@@ -181,22 +185,28 @@
                     # Lets timers run where clients connect faster than they are accepted.
                     await anyio.sleep(0)
                     continue
-                log.warning(
-                    "descriptors_used_up",
-                    clients=len(self.clients),
-                    links=self.budget.connections.used,
-                )
-                self.descriptor_freed = anyio.Event()
-                with anyio.move_on_after(DESCRIPTOR_WAIT_S):
-                    await self.descriptor_freed.wait()
+                await self.wait_for_descriptor()
             except BlockingIOError:
                 pass
             except anyio.ClosedResourceError:
                 return
+            except OSError as error:
+                # Of the connection that would have been accepted, or of a system short of something.
+                log.warning("accept_failed", fault=error)
+                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
             except Exception:  # without this task no client would be accepted any more
                 log.exception("accept_failed")
                 await anyio.sleep(ACCEPT_RETRY_DELAY_S)
 
+    async def wait_for_descriptor(self) -> None:
+        """Wait until a client's or upstream's connection is closed, or for DESCRIPTOR_WAIT_S."""
+        log.warning(
+            "descriptors_used_up", clients=len(self.clients), links=self.budget.connections.used
+        )
+        self.descriptor_freed = anyio.Event()
+        with anyio.move_on_after(DESCRIPTOR_WAIT_S):
+            await self.descriptor_freed.wait()
+
     def start(self, listeners: list[socket.socket]) -> None:
         """Begin to accept clients on these listeners."""
         for listener in listeners:
--- a/whinpier/http/upstream_connection.py
+++ b/whinpier/http/upstream_connection.py
@@ -9,8 +9,6 @@
 
 from __future__ import annotations
 
-import errno
-import socket
 from collections import deque
 from collections.abc import Callable, Iterator
 
@@ -286,8 +284,7 @@
         self.pool = endpoint.pool
         self.loop = endpoint.loop
         self.address = endpoint.address
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock = buffers.create_tcp_socket()
         self.response_parser = ResponseParser()  # for responses not in the simplest form
         self.attempt: HttpAttempt | None = None
         self.response = UpstreamResponse()
@@ -310,14 +307,13 @@
                 self.loop,
                 self.on_connect_timeout,
             )
-            if self.sock.connect_ex(self.address) in (0, errno.EINPROGRESS):
-                await anyio.wait_writable(self.sock)
-                if not self.closed and not self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                    self.connected = True
-                    self.endpoint.connecting_count -= 1
-                    self.start_reading(metered=len(self.pool.context.budget.pools) > 1)
-                    self.endpoint.on_connection_available(self)
-                    return
+            await buffers.connect(self.sock, self.address)
+            if not self.closed:
+                self.start_reading(metered=len(self.pool.context.budget.pools) > 1)
+                self.connected = True
+                self.endpoint.connecting_count -= 1
+                self.endpoint.on_connection_available(self)
+                return
         except (OSError, anyio.ClosedResourceError):
             pass
         self.close()
