HTTP: a request's time counts from when it arrived, not from when it was parsed

What callers saw: an upstream was told 1.48 s for a request whose client had 0.78 s left, since it lay behind another; a process that had stood still for 0.6 s told all of the time. Answers to such requests could come after their due time.

Cause: the deadline was counted from the moment of parsing. What lies behind a request in flight, unread at the system, or arrives while the process stands still had been sent long before.

Change: the system stamps what it receives (SO_TIMESTAMPNS), and each read tells the age of its last byte; only the age is used, so that a stepped wall clock matters for what it crosses alone, and an age that no request can have counts as none. Where the system gives no stamps the time of the read counts, as before.

--- a/tests/http/test_system_call_errors.py
+++ b/tests/http/test_system_call_errors.py
@@ -121,7 +121,7 @@
         assert (await harness.read(client, b"done")).startswith(b"HTTP/1.1 200")
 
 
-@pytest.mark.parametrize("call", ["recv_into", "send"])
+@pytest.mark.parametrize("call", ["recvmsg_into", "recv_into", "send"])
 @pytest.mark.parametrize("code", [errno.EINTR, errno.ENOBUFS, errno.ENOMEM])
 async def test_connection_goes_on_after_a_call_that_failed_for_a_moment(call, code, monkeypatch):
     async with running_harness() as harness:
@@ -134,7 +134,11 @@
 
 
 async def test_messages_are_whole_where_each_call_takes_a_few_bytes(monkeypatch):
-    send, recv_into = socket.socket.send, socket.socket.recv_into
+    send, recv_into, recvmsg_into = (
+        socket.socket.send,
+        socket.socket.recv_into,
+        socket.socket.recvmsg_into,
+    )
 
     async with running_harness() as harness:
 
@@ -145,8 +149,12 @@
             size = min(size, 5) if sock in balancers_sockets(harness) else size
             return recv_into(sock, buffer, size, *flags)
 
+        def receive_few_stamped(sock, parts, *sizes):
+            return recvmsg_into(sock, [parts[0][:5]], *sizes)
+
         monkeypatch.setattr(socket.socket, "send", send_few)
         monkeypatch.setattr(socket.socket, "recv_into", receive_few)
+        monkeypatch.setattr(socket.socket, "recvmsg_into", receive_few_stamped)
         assert await serve_one(harness) == b"HTTP/1.1 200 OK"
 
 
--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -17,7 +17,8 @@
 import h11
 
 from whinpier import log
-from whinpier.http import buffers
+from whinpier.http import arrival_times, buffers
+from whinpier.http.arrival_times import ArrivalTimes
 from whinpier.http.message_parser import RequestParser
 from whinpier.http.platform_routes import (
     RequestError,
@@ -81,7 +82,7 @@
 class HttpRequest(OutboundRequest):
     """A request and the client connection that waits for its response."""
 
-    __slots__ = ("client",)
+    __slots__ = ("client", "parsed_at")
 
     def __init__(
         self,
@@ -94,6 +95,7 @@
         """Build the head to forward from what the connection has parsed."""
         super().__init__(client.loop.next_id(), request_class, arrived_at, deadline)
         self.client = client
+        self.parsed_at = client.loop.clock()
         self.client_id = client_id
         self.body = bytes(client.body)
         head = [b"%s %s HTTP/1.1\r\n" % (client.method, client.target)]
@@ -114,7 +116,7 @@
 
     def is_client_hidden(self, now: int) -> bool:
         """Tell whether its client may have left for some time, and that could not be seen."""
-        return now > self.arrived_at + MAX_HIDDEN_NS and self.client.may_have_left_unseen()
+        return now > self.parsed_at + MAX_HIDDEN_NS and self.client.may_have_left_unseen()
 
     def respond(self, response: UpstreamResponse) -> None:
         """Forward an upstream's response to the client."""
@@ -162,6 +164,7 @@
         self.pool_budget: PoolBudget | None = None  # of the pool that got its last request
         self.unsent = buffers.NOTHING
         self.unsent_bytes = Holding()
+        self.arrivals = ArrivalTimes()
         self.receiving = False  # part of a request has arrived
         self.is_parsing = False  # a response that is written now is followed by the next request
         self.closing = False  # no further request is processed
@@ -190,6 +193,15 @@
         else:
             self.process_data(data)
 
+    def receive(self, limit: int = buffers.BUFFER_BYTES) -> bytes | None:
+        """Return what has arrived, as `Connection.receive`, and note when it had."""
+        try:
+            data, age = arrival_times.receive(self.sock, limit)
+        except OSError as error:
+            return None if error.errno in buffers.TRANSIENT_ERRORS else b""
+        self.arrivals.add(len(data), self.loop.clock() - age)
+        return data
+
     def read_limit(self) -> int:
         """Return how many bytes may be read now: few behind a request without a response."""
         if self.closing or not self.is_held_up():
@@ -431,7 +443,7 @@
             if remaining is None or not DECIMAL_NUMBER.fullmatch(remaining):
                 raise RequestError(400, f"no {fields.remaining.decode().title()} that can be read")
             timeout = min(int(float(remaining) * SECOND), timeout)
-        arrived_at = self.loop.clock()
+        arrived_at = self.arrivals.at(self.request_parser.unparsed_size())
         deadline = frontend.process.deadline(arrived_at, timeout)
         request = HttpRequest(self, request_class, arrived_at, deadline, client_id)
         key = query_parameter(self.target, fields.query_key) or headers.get(fields.key, b"")
--- a/whinpier/http/listener.py
+++ b/whinpier/http/listener.py
@@ -13,6 +13,7 @@
 import anyio
 
 from whinpier import log
+from whinpier.http import arrival_times
 from whinpier.http.client_connection import ClientConnection, CloseReason
 from whinpier.http.platform_routes import RequestError, Router
 from whinpier.policy.decaying_sum import SECOND
@@ -210,6 +211,7 @@
     def start(self, listeners: list[socket.socket]) -> None:
         """Begin to accept clients on these listeners."""
         for listener in listeners:
+            arrival_times.enable(listener)
             self.loop.task_group.start_soon(self.accept_clients, listener)
             host, port = listener.getsockname()
             log.info("listening", address=f"{host}:{port}", debug=__debug__)
