Ids that are remembered are bounded by memory, and for one client above half of that

What callers saw: nothing yet with short waits. With 60 s to wait a flood of small requests under ever new ids grew a process by 0.85 KB each (13,179 ids, 11 MB in ten seconds), which the rate of one core and the longest wait alone would have bounded.

Change: an eighth of the memory, at a kilobyte each, is for remembered requests. Above half of that, a client that has over a sixteenth of it is refused; at the bound all are, with 503 and a time to come back. rejected_remembered counts them.

Evidence: test_client_with_ever_new_ids_does_not_fill_the_table_for_others; it could not pass before, as the bound is new.

--- a/tests/http/test_endings.py
+++ b/tests/http/test_endings.py
@@ -465,6 +465,29 @@
         assert harness.pool.budget.bodies.used == 0
 
 
+async def test_client_with_ever_new_ids_does_not_fill_the_table_for_others():
+    """Guards against a table that grows with rate times wait, and one that a single client fills."""
+    async with running_harness() as harness:
+        harness.process.budget.max_remembered = 32
+        client = harness.client(request())
+        upstream, _ = await harness.accept_attempt()
+        upstream.sendall(OK_RESPONSE)
+        await harness.read(client, b"done")
+        connection = next(iter(harness.frontend.clients))
+        assert connection.remembered == len(harness.process.ids) == 1
+        harness.process.ids |= dict.fromkeys(range(16))  # over half of the table
+        connection.remembered = 3  # over a sixteenth
+        client.sendall(request())
+        assert (await harness.read(client, b"turned back\n")).startswith(b"HTTP/1.1 503")
+        other = harness.client(request())
+        await harness.read(upstream, b"{}")
+        upstream.sendall(OK_RESPONSE)
+        assert (await harness.read(other, b"done")).startswith(b"HTTP/1.1 200")
+        harness.process.ids |= dict.fromkeys(range(32))  # full
+        other.sendall(request())
+        assert (await harness.read(other, b"turned back\n")).startswith(b"HTTP/1.1 503")
+
+
 async def test_connection_holds_no_method_of_its_own():
     """Guards against connections that refer to themselves: collecting them stops the loop for long."""
     async with running_harness() as harness:
--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -118,6 +118,10 @@
         """Tell whether its client may have left for some time, and that could not be seen."""
         return now > self.parsed_at + MAX_HIDDEN_NS and self.client.may_have_left_unseen()
 
+    def on_forgotten(self) -> None:
+        """Note that its id is no longer known."""
+        self.client.remembered -= 1
+
     def respond(self, response: UpstreamResponse) -> None:
         """Forward an upstream's response to the client."""
         headers = [pair for pair in response.headers if pair[0] not in UNFORWARDED_HEADERS]
@@ -162,6 +166,7 @@
         # Of the connection:
         self.state_since = frontend.loop.clock()  # when its current wait began
         self.pool_budget: PoolBudget | None = None  # of the pool that got its last request
+        self.remembered = 0  # requests of it whose ids are known
         self.unsent = buffers.NOTHING
         self.unsent_bytes = Holding()
         self.arrivals = ArrivalTimes()
@@ -390,7 +395,9 @@
             log.counters["request_expired"] += 1
             self.send_response(504, b"too late\n")
             return
-        if pool.request_limiters is None:
+        if self.frontend.has_too_many_remembered(self):
+            rejected = True
+        elif pool.request_limiters is None:
             rejected = self.frontend.rejects(pool)
         else:  # limits by route or tenant need the headers that name them
             target, header_map = self.destination[0], self.header_map
@@ -417,6 +424,7 @@
             pool.retry_after = 0
             return
         self.request = request
+        self.remembered += 1
         self.drop_parsed_request()
         pool.accept(request, pool.granted_permits)
 
--- a/whinpier/http/listener.py
+++ b/whinpier/http/listener.py
@@ -79,6 +79,12 @@
             return self.process.reject_because(RejectionReason.CLIENTS)
         return self.process.rejects(pool, route, tenant, ticket, again)
 
+    def has_too_many_remembered(self, client: ClientConnection) -> bool:
+        """Tell whether a client's next request is rejected, for the ids that are known of it."""
+        if self.budget.may_remember(len(self.requests_by_id), client.remembered):
+            return False
+        return self.process.reject_because(RejectionReason.REMEMBERED)
+
     def remove_client(self, client: ClientConnection) -> None:
         """Forget a client whose connection is closed."""
         if client in self.clients:
--- a/whinpier/runtime/pool.py
+++ b/whinpier/runtime/pool.py
@@ -75,6 +75,9 @@
     def release_payload(self) -> None:
         """Drop what only attempts need: it has ended, and is remembered until its deadline."""
 
+    def on_forgotten(self) -> None:
+        """Note that its id is no longer known."""
+
     def is_awaited(self) -> bool:
         """Tell whether the client still waits for the response to this request."""
         raise NotImplementedError
@@ -570,6 +573,7 @@
         key = request.client_id or request.id
         if self.context.ids.get(key) is request:
             del self.context.ids[key]
+            request.on_forgotten()
 
     def shorten_deadline(self, request: PendingRequest, deadline: int) -> None:
         """End a request earlier than its client's deadline, since the process stops then."""
--- a/whinpier/runtime/process.py
+++ b/whinpier/runtime/process.py
@@ -62,6 +62,9 @@
     STOPPING = "stopping"
     LATE = "late"  # the event loop is late, so a part of the requests is shed
     IN_FLIGHT = "in_flight"  # the pool has as many as it may have
+    REMEMBERED = (
+        "remembered"  # as many ids are known as memory allows, or its client's part of them
+    )
     LIMIT = "limit"  # of a rate, quota or tenant
 
 
@@ -228,6 +231,8 @@
             return self.reject_because(RejectionReason.STOPPING)
         if shed and self.random() < shed:
             return self.reject_because(RejectionReason.LATE)
+        if not self.budget.may_remember(len(self.ids), 0):
+            return self.reject_because(RejectionReason.REMEMBERED)
         if not pool.budget.requests.acquire():
             return self.reject_because(RejectionReason.IN_FLIGHT)
         if (pool.limiters or pool.request_limiters) and not pool.admit(
--- a/whinpier/runtime/resource_budget.py
+++ b/whinpier/runtime/resource_budget.py
@@ -27,6 +27,12 @@
 CROWDED_DIVISOR = 4
 # One part in so many of the memory is for bodies; usual bodies need a hundredth of that.
 BODY_DIVISOR = 16
+# One part in so many of the memory is for requests that have ended and whose ids are known until their
+# deadline, of which each takes about a kilobyte with its timer.
+REMEMBERED_DIVISOR = 8
+REMEMBERED_BYTES = 1024
+# Above half of them, one client may have one in so many.
+REMEMBERED_CLIENT_DIVISOR = 16
 # Of a pool's unused guarantee: not lent, so that the pool has capacity at once when load returns.
 RESERVED_FRACTION = 0.25
 # Between adjustments of shedding; a loop that is later than this adjusts on each round of timers.
@@ -231,6 +237,7 @@
         # Of clients that no request has brought to a pool yet.
         self.unrouted_bodies = self.bodies.create_share()
         self.unrouted_request_bytes = self.request_bytes.create_share()
+        self.max_remembered = memory // REMEMBERED_DIVISOR // REMEMBERED_BYTES
         self.shedding_updated_at = 0
         # The owners of connections replace these three.
         self.close_unused_client: Callable[[], None] = lambda: None
@@ -307,6 +314,13 @@
             self.sockets // CROWDED_DIVISOR, self.max_clients
         )
 
+    def may_remember(self, remembered: int, of_client: int) -> bool:
+        """Tell whether a client may send one more request, with so many remembered in all and of it."""
+        if remembered <= self.max_remembered // 2:
+            return True
+        is_within_share = of_client <= self.max_remembered // REMEMBERED_CLIENT_DIVISOR
+        return is_within_share and remembered < self.max_remembered
+
     def update_shedding(self, now: int, lag: int) -> None:
         """Raise or lower the fraction of requests that is rejected, by how late the loop is."""
         if now - self.shedding_updated_at < SHEDDING_INTERVAL:
