RADIUS: packets of one stream are taken in turns

Cause: a stream took all packets that had been read, up to the 2,000 that its client may send in a second, in one turn of the event loop: some 0.6 s.

Change: a stream takes packets for a turn; then it is not read until the queue of turns comes to it. The number in a second holds as before.

Evidence: test_a_stream_of_many_packets_lets_others_run_between failed before (100 packets in one call) and passes; tests of streams pass.

--- a/tests/radius/test_streams.py
+++ b/tests/radius/test_streams.py
@@ -5,6 +5,8 @@
 import asyncio
 import datetime
 import ssl
+import time
+from types import SimpleNamespace
 
 import anyio
 import pytest
@@ -18,7 +20,8 @@
 from whinpier.radius import packet as wire
 from whinpier.radius.listeners import TlsSpec
 from whinpier.radius.packet import BadPacket
-from whinpier.radius.stream_server import Splitter
+from whinpier.radius.stream_server import Splitter, Stream
+from whinpier.runtime.event_loop import EventLoop
 from whinpier.testbed import files
 from whinpier.testbed.process import free_address
 from whinpier.testbed.radius import Behaviour, Burst, Caller, proved, record, request_packet
@@ -52,6 +55,36 @@
         next(stream)
 
 
+class SlowFront:
+    """Takes a packet in half a millisecond, and lets a client send any number."""
+
+    def __init__(self):
+        self.loop, self.taken = EventLoop(), 0
+
+    def allowed(self, name, most):
+        return True
+
+    def on_packet(self, stream, packet, client):
+        self.taken += 1
+        time.sleep(0.0005)
+
+
+@pytest.mark.anyio
+async def test_a_stream_of_many_packets_lets_others_run_between():
+    # Guards against one turn of the event loop that takes all that a client may send in a second.
+    front = SlowFront()
+    stream = Stream(SimpleNamespace(front=front), 1, "127.0.0.1", 1812, None)
+    stream.client = SimpleNamespace(name="a", most=2000)
+    stream.transport = SimpleNamespace(pause_reading=lambda: None, resume_reading=lambda: None)
+    stream.data_received(b"".join(record(number, SECRET) for number in range(100)))
+    assert 0 < front.taken < 20
+    with anyio.fail_after(10.0):
+        while front.taken < 100:
+            before = front.taken
+            await anyio.sleep(0)
+            assert front.taken < before + 20
+
+
 def streams(tmp_path, story, *, certificates=None, **more):
     """A story with a listener of TCP, and one of TLS where there are certificates."""
     tcp, tls = free_address(), free_address()
--- a/whinpier/radius/stream_server.py
+++ b/whinpier/radius/stream_server.py
@@ -119,6 +119,7 @@
         self.client: ClientSpec | None = None
         self.splitter, self.waiting = Splitter(), deque[bytes]()
         self.heard, self.closed, self.held_back = self.front.loop.clock(), False, False
+        self.is_deferred = False  # it is in the loop's queue of turns
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -162,8 +163,15 @@
         self.work()
 
     def work(self) -> None:
-        """Take what has come, as many a second as its client may send; the rest waits, as does its peer."""
+        """Take what has come, as many a second as its client may send; the rest waits, as does its peer.
+
+        Other connections run after each turn.
+        """
+        turn = self.front.loop.turns.begin_turn()
         while self.waiting and not self.closed and self.client is not None:
+            if turn.is_over():
+                self.defer()
+                return
             if not self.front.allowed(self.client.name, self.client.most):
                 log.counters["radius_held_back"] += 1
                 if not self.held_back:
@@ -180,6 +188,20 @@
                 log.exception("connection_task_failed")
                 self.close()
 
+    def defer(self) -> None:
+        """Let other connections run first, and read nothing more until this one goes on."""
+        if not self.is_deferred:
+            self.is_deferred = True
+            self.transport.pause_reading()
+            self.front.loop.turns.defer(self.end_deferral)
+
+    def end_deferral(self) -> None:
+        """Go on, unless the connection has ended or its client has sent enough for this second."""
+        self.is_deferred = False
+        if not self.closed and not self.held_back:
+            self.transport.resume_reading()
+            self.work()
+
     def go_on(self) -> None:
         self.held_back = False
         if not self.closed:
