--- a/tests/http/test_arrival_times.py
+++ b/tests/http/test_arrival_times.py
@@ -6,7 +6,14 @@
 import pytest
 
 from whinpier.http import arrival_times
-from whinpier.http.arrival_times import MAX_READS, SO_TIMESTAMPNS, TIMESPEC, ArrivalTimes
+from whinpier.http.arrival_times import (
+    MAX_FAILURES,
+    MAX_READS,
+    SO_TIMESTAMPNS,
+    TIMESPEC,
+    ArrivalTimes,
+    Stamps,
+)
 from whinpier.policy.decaying_sum import SECOND
 
 
@@ -42,3 +49,23 @@
         times.add(1, number)
     assert len(times.reads) == MAX_READS
     assert times.at(0) == MAX_READS - 1
+
+
+@pytest.mark.parametrize("fault", [OSError(38, "not implemented"), BlockingIOError(), 0])
+def test_reading_goes_on_without_stamps_where_the_system_has_none(fault, monkeypatch):
+    # Guards against clients that are never read, or closed, where a call is not supported.
+    def receive_stamped(*_):
+        if fault:
+            raise fault
+        return 0, [], 0, None
+
+    monkeypatch.setattr(socket.socket, "recvmsg_into", receive_stamped)
+    monkeypatch.setattr(Stamps, "is_enabled", True)
+    here, there = socket.socketpair()
+    with here, there:
+        for _ in range(MAX_FAILURES + 1):
+            there.sendall(b"data")
+            assert arrival_times.receive(here, 100) == (b"data", 0)
+        there.close()
+        assert arrival_times.receive(here, 100) == (b"", 0)
+    assert not Stamps.is_enabled
--- a/whinpier/http/arrival_times.py
+++ b/whinpier/http/arrival_times.py
@@ -1,7 +1,8 @@
 """Tells when what is read from a socket has arrived, however late it is read.
 
 The system stamps what it receives by the wall clock (SO_TIMESTAMPNS, socket(7)). Only the age at the
-time of reading is used, so that steps of that clock matter for what they cross alone.
+time of reading is used, so that steps of that clock matter for what they cross alone. Where reading
+with stamps fails and reading without them does not, there are none from then on.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 from collections import deque
 from typing import NamedTuple
 
+from whinpier import log
 from whinpier.http import buffers
 from whinpier.policy.decaying_sum import SECOND
 
@@ -24,21 +26,50 @@
 MAX_READS = 16
 
 
+# Reads in a row that failed with a stamp and not without it, after which none is asked for any more.
+MAX_FAILURES = 8
+
+
+class Stamps:
+    """Whether the process reads with stamps, and how often in a row that failed."""
+
+    is_enabled = False
+    failures = 0
+
+
 def enable(listener: socket.socket) -> None:
     """Have the system stamp what arrives on connections of a listener, if it can."""
     try:
         listener.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
     except OSError:
         return  # what is read counts as just arrived
+    Stamps.is_enabled = True
+    Stamps.failures = 0
 
 
 def receive(sock: socket.socket, limit: int) -> tuple[bytes, int]:
     """Return what has arrived, as `buffers.receive`, and for how many nanoseconds it has waited."""
+    if Stamps.is_enabled and (stamped := receive_stamped(sock, limit)):
+        Stamps.failures = 0
+        return stamped
+    data = buffers.receive(sock, limit)
+    if data and Stamps.is_enabled:
+        Stamps.failures += 1
+        if Stamps.failures >= MAX_FAILURES:
+            log.warning("stamps_unavailable")
+            Stamps.is_enabled = False
+    return data, 0
+
+
+def receive_stamped(sock: socket.socket, limit: int) -> tuple[bytes, int] | None:
+    """Return bytes that have arrived and their age; None at the end, for an error or without bytes."""
     buffer = buffers.acquire_buffer()
     try:
         view = memoryview(buffer)[:limit]
         count, ancillary, _, _ = sock.recvmsg_into([view], ANCILLARY_BYTES)
-        return bytes(view[:count]), age(ancillary)
+        return (bytes(view[:count]), age(ancillary)) if count else None
+    except OSError:
+        return None
     finally:
         buffers.release_buffer(buffer)
 
--- a/whinpier/runtime/event_loop.py
+++ b/whinpier/runtime/event_loop.py
@@ -56,6 +56,7 @@
         self.pending_calls: deque[tuple[TimerHost, Callable[..., None], tuple[Any, ...]]] = deque()
         self.running = False
         self.turns = TurnQueue()
+        self.timers_run_at = self.now  # last
         self.max_lag = 0  # since the last line of metrics
         self.recent_lag = 0  # decays over LAG_MEMORY
         self.recent_lag_at = self.now
@@ -103,6 +104,7 @@
             while self.timers and self.timers[0][0] <= now:
                 _, _, host, call, args = heapq.heappop(self.timers)
                 self.dispatch(host, call, *args)
+            self.timers_run_at = self.clock()
             self.wakeup = anyio.Event()
             self.wakeup_at = self.timers[0][0] if self.timers else now + SECOND
             with anyio.move_on_after((self.wakeup_at - self.clock()) / SECOND):
