HTTP: whole requests that wait for their turn are not refused for memory

What callers saw: of five whole requests sent at once the first got 503 and the others no answer, where memory for requests was short: read, and closed with no answer (found while the budget of requests was gone through).

Cause: bytes that wait counted against the request in front of them, and a refusal ended the connection over the whole requests behind it.

A whole request that finds no room gets its 503 and the connection goes on. The age of what was read is bounded by the last round of timers, or by when reading was paused.

Evidence: test_whole_requests_that_wait_for_their_turn_are_answered_where_memory_is_short failed before (one answer of five) and passes.

--- a/tests/http/test_endings.py
+++ b/tests/http/test_endings.py
@@ -31,6 +31,7 @@
 from whinpier.http.upstream_connection import UpstreamConnection
 from whinpier.policy.decaying_sum import SECOND
 from whinpier.policy.model import Effect, Outcome
+from whinpier.runtime import turn_queue
 from whinpier.runtime.process import Process
 
 GIVEN = json.loads(Path("example/config.json").read_text())
@@ -465,6 +466,23 @@
         assert harness.pool.budget.bodies.used == 0
 
 
+async def test_whole_requests_that_wait_for_their_turn_are_answered_where_memory_is_short(
+    monkeypatch,
+):
+    """Guards against requests that were read whole and are dropped to make room for others."""
+    monkeypatch.setattr(turn_queue.Turn, "is_over", lambda _: next(ids) % 2 == 0)
+    expired = request(remaining=0.0)
+    async with running_harness() as harness:
+        harness.process.budget.request_bytes.capacity = 2_500  # one request, parsed
+        clients = [harness.client(expired * 5) for _ in range(4)]
+        for client in clients:
+            answered = b""
+            while answered.count(b"HTTP/1.1") < 5:
+                answered += (piece := await harness.read(client, b"\n"))
+                assert piece, answered
+        assert harness.attempts_started() == 0
+
+
 async def test_client_with_ever_new_ids_does_not_fill_the_table_for_others():
     """Guards against a table that grows with rate times wait, and one that a single client fills."""
     async with running_harness() as harness:
--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -160,6 +160,7 @@
         # Why no route was found, if the client may go on using the connection.
         self.routing_error: RequestError | None = None
         self.request: HttpRequest | None = None  # accepted by the pool and without a response
+        self.body_length = 0  # as its head says, without chunks
         self.head_bytes = 0  # that the parsed head takes
         self.request_bytes = Holding()
         self.parsed_simply = False  # without h11
@@ -170,6 +171,7 @@
         self.unsent = buffers.NOTHING
         self.unsent_bytes = Holding()
         self.arrivals = ArrivalTimes()
+        self.unread_since = 0  # since when bytes may be unread as reading was paused; 0: none are
         self.receiving = False  # part of a request has arrived
         self.is_parsing = False  # a response that is written now is followed by the next request
         self.closing = False  # no further request is processed
@@ -204,13 +206,25 @@
             data, age = arrival_times.receive(self.sock, limit)
         except OSError as error:
             return None if error.errno in buffers.TRANSIENT_ERRORS else b""
-        self.arrivals.add(len(data), self.loop.clock() - age)
+        now = self.loop.clock()
+        # What is older has been read before: a stamp that says so is of another clock.
+        oldest = min(self.loop.timers_run_at, self.unread_since or now)
+        self.arrivals.add(len(data), max(now - age, oldest))
+        if len(data) < limit:
+            self.unread_since = 0
         return data
 
+    def pause_reading(self) -> None:
+        """Read nothing more until `resume_reading`."""
+        self.unread_since = self.unread_since or self.loop.clock()
+        super().pause_reading()
+
     def read_limit(self) -> int:
         """Return how many bytes may be read now: few behind a request without a response."""
-        if self.closing or not self.is_held_up():
+        if self.closing or self.request_parser.is_in_body():
             return buffers.BUFFER_BYTES
+        if not self.is_held_up():
+            return self.frontend.budget.read_bytes
         return max(1, MAX_PIPELINED_BYTES + 1 - self.request_parser.unparsed_size())
 
     def process_data(self, data: bytes) -> None:
@@ -299,20 +313,29 @@
             return
         if len(self.body) + len(data) > MAX_REQUEST_BODY_BYTES:
             raise RequestError(413, "body too large")
-        if self.destination is None or not self.hold_request_bytes(len(data)):
+        if self.destination is None:
             raise RequestError(503, "too many bodies at once")
+        if not self.hold_request_bytes(len(data)):
+            # Raised once the body has been read, if it has arrived: whole requests may follow.
+            self.routing_error = RequestError(
+                503, "too many bodies at once", close_connection=False
+            )
+            self.release_request()
+            return
         self.body += data
 
-    def hold_request_bytes(self, more: int = 0) -> bool:
+    def hold_request_bytes(self, more: int) -> bool:
         """Count what this client's request takes, and `more`; return False if that is too much.
 
+        What waits behind the request is bounded by what is read at once.
+
         Where the budget is used up, requests that have been arriving for longest are refused first.
         """
         if self.destination:
             share = self.destination[0].pool.budget.request_bytes
         else:
             share = self.frontend.budget.unrouted_request_bytes
-        size = self.head_bytes + len(self.body) + self.request_parser.unparsed_size() + more
+        size = self.head_bytes + len(self.body) + more
         while not self.request_bytes.resize(share, size):
             if not self.frontend.refuse_slowest_request(self):
                 return False
@@ -327,10 +350,26 @@
                 break
             if not self.process_next_event():
                 break
-        if self.receiving and not self.closing and not self.hold_request_bytes():
+        if self.is_arriving() and not self.hold_request_bytes(self.request_parser.unparsed_size()):
             self.reject_request(RequestError(503, "too many requests arriving at once"))
         self.limit_pipelining()
 
+    def is_arriving(self) -> bool:
+        """Tell whether a request has arrived in part, and can be refused.
+
+        Whole requests that wait for their turn are owed their responses.
+        """
+        if not self.receiving or self.closing:
+            return False
+        return not self.is_deferred or self.has_incomplete_body()
+
+    def has_incomplete_body(self) -> bool:
+        """Tell whether more of the current request's body has to arrive."""
+        parser = self.request_parser
+        if not parser.is_in_body():
+            return False
+        return parser.is_chunked or len(self.body) + parser.unparsed_size() < self.body_length
+
     def parse_received(self) -> None:
         """Go on where the last turn ended."""
         self.process_requests()
@@ -372,6 +411,7 @@
         length = next((value for name, value in self.headers if name == b"content-length"), b"0")
         if len(length) > 9 or int(length) > MAX_REQUEST_BODY_BYTES:
             raise RequestError(413, "body too large")
+        self.body_length = int(length)
         self.head_bytes = sum(
             len(name) + len(value) + FIELD_OVERHEAD_BYTES for name, value in self.headers
         )
--- a/whinpier/http/listener.py
+++ b/whinpier/http/listener.py
@@ -116,7 +116,7 @@
 
         Return False if that is the requester's own.
         """
-        arriving = (client for client in self.clients if client.receiving and not client.closing)
+        arriving = (client for client in self.clients if client.is_arriving())
         slowest = min(arriving, key=lambda client: client.state_since, default=requester)
         if slowest is requester:
             return False
--- a/whinpier/runtime/resource_budget.py
+++ b/whinpier/runtime/resource_budget.py
@@ -33,6 +33,10 @@
 REMEMBERED_BYTES = 1024
 # Above half of them, one client may have one in so many.
 REMEMBERED_CLIENT_DIVISOR = 16
+# Read at once from a client but for bodies, which have a budget: all clients together may have as much
+# waiting. The most is the largest head.
+MIN_READ_BYTES = 4 * 1024
+MAX_READ_BYTES = 16 * 1024
 # Of a pool's unused guarantee: not lent, so that the pool has capacity at once when load returns.
 RESERVED_FRACTION = 0.25
 # Between adjustments of shedding; a loop that is later than this adjusts on each round of timers.
@@ -252,6 +256,8 @@
         self.total_connections = self.sockets - reserved_descriptors - self.rejection_reserve
         self.max_clients = int(CLIENT_FRACTION * self.total_connections)
         self.requests.capacity = self.max_clients
+        per_client = self.memory // BODY_DIVISOR // max(1, self.max_clients)
+        self.read_bytes = max(MIN_READ_BYTES, min(per_client, MAX_READ_BYTES))
         self.connections.capacity = self.total_connections - self.max_clients
         for pool in self.pools:
             pool.reconfigure(pool.limits)
