--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -317,8 +317,9 @@
             raise RequestError(503, "too many bodies at once")
         if not self.hold_request_bytes(len(data)):
             # Raised once the body has been read, if it has arrived: whole requests may follow.
+            is_last = not self.request_parser.unparsed_size()
             self.routing_error = RequestError(
-                503, "too many bodies at once", close_connection=False
+                503, "too many bodies at once", close_connection=is_last
             )
             self.release_request()
             return
