--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -221,11 +221,19 @@
 
     def read_limit(self) -> int:
         """Return how many bytes may be read now: few behind a request without a response."""
-        if self.closing or self.request_parser.is_in_body():
+        if self.closing:
             return buffers.BUFFER_BYTES
-        if not self.is_held_up():
-            return self.frontend.budget.read_bytes
-        return max(1, MAX_PIPELINED_BYTES + 1 - self.request_parser.unparsed_size())
+        if self.is_held_up():
+            return max(1, MAX_PIPELINED_BYTES + 1 - self.request_parser.unparsed_size())
+        limit = self.frontend.budget.read_bytes + max(0, self.missing_body_bytes())
+        return min(limit, buffers.BUFFER_BYTES)
+
+    def missing_body_bytes(self) -> int:
+        """Return how much of the current request's body has not arrived; 0 of one in chunks."""
+        parser = self.request_parser
+        if not parser.is_in_body() or parser.is_chunked:
+            return 0
+        return self.body_length - len(self.body) - parser.unparsed_size()
 
     def process_data(self, data: bytes) -> None:
         """Process received bytes of a connection that waits for no response."""
@@ -367,9 +375,7 @@
     def has_incomplete_body(self) -> bool:
         """Tell whether more of the current request's body has to arrive."""
         parser = self.request_parser
-        if not parser.is_in_body():
-            return False
-        return parser.is_chunked or len(self.body) + parser.unparsed_size() < self.body_length
+        return self.missing_body_bytes() > 0 or (parser.is_in_body() and parser.is_chunked)
 
     def parse_received(self) -> None:
         """Go on where the last turn ended."""
