HTTP: where one pool's memory is short, other pools' clients do not make way

Cause: the slowest request or response of all clients made way, whatever pool's budget was used up: a pool at its own limit would have ended the requests of the others one by one and gained nothing.

Change: who makes way holds some of the same share, or is of a pool that has borrowed, or is the one that asks.

Evidence: tests/http/test_making_way.py, three tests; the crowds of halves, chunks and unread responses pass.

--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -346,7 +346,7 @@
             share = self.frontend.budget.unrouted_request_bytes
         size = self.head_bytes + len(self.body) + more
         while not self.request_bytes.resize(share, size):
-            if not self.frontend.refuse_slowest_request(self):
+            if not self.frontend.refuse_slowest_request(self, share):
                 return False
         return True
 
@@ -623,7 +623,7 @@
         while not self.closed and not self.unsent_bytes.resize(
             share, memoryview(self.unsent.obj).nbytes
         ):
-            self.frontend.close_slowest_reader()
+            self.frontend.close_slowest_reader(self, share)
 
     def flush(self) -> None:
         """Write what the socket takes; then half-close after the last response, or go on."""
--- a/whinpier/http/listener.py
+++ b/whinpier/http/listener.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from itertools import takewhile
 
 import anyio
@@ -19,7 +19,7 @@
 from whinpier.policy.decaying_sum import SECOND
 from whinpier.runtime.pool import Pool
 from whinpier.runtime.process import SWEEP_INTERVAL, Process, RejectionReason
-from whinpier.runtime.resource_budget import PoolBudget
+from whinpier.runtime.resource_budget import Holding, PoolBudget, ResourceShare
 
 # Accepting these takes some 3 ms; other tasks run after them.
 MAX_ACCEPTS_PER_TURN = 32
@@ -111,25 +111,43 @@
                 client.close(CloseReason.SURPLUS)
                 return
 
-    def refuse_slowest_request(self, requester: ClientConnection) -> bool:
-        """Refuse the request that has been arriving for longest, for one that arrives now.
+    def refuse_slowest_request(self, requester: ClientConnection, share: ResourceShare) -> bool:
+        """Refuse the request that has been arriving for longest, to free some of a share.
 
         Return False if that is the requester's own.
         """
         arriving = (client for client in self.clients if client.is_arriving())
-        slowest = min(arriving, key=lambda client: client.state_since, default=requester)
+        slowest = self.slowest(arriving, requester, lambda client: client.request_bytes, share)
         if slowest is requester:
             return False
         slowest.reject_request(RequestError(503, "too many requests arriving at once"))
         return True
 
-    def close_slowest_reader(self) -> None:
-        """Close the client that has been taking a response for longest: memory is for others too."""
+    def close_slowest_reader(self, requester: ClientConnection, share: ResourceShare) -> None:
+        """Close the client that has been taking a response for longest, to free some of a share."""
         readers = (client for client in self.clients if client.unsent)
-        slowest = min(readers, key=lambda client: client.state_since)
+        slowest = self.slowest(readers, requester, lambda client: client.unsent_bytes, share)
         log.warning("slow_client", reading=False, unsent=len(slowest.unsent))
         slowest.close(CloseReason.SLOW_RESPONSE)
 
+    @staticmethod
+    def slowest(
+        clients: Iterable[ClientConnection],
+        requester: ClientConnection,
+        holding_of: Callable[[ClientConnection], Holding],
+        share: ResourceShare,
+    ) -> ClientConnection:
+        """Return who has been waited for longest, of those that can free some of a share.
+
+        Clients of other pools can if their pool has borrowed. The requester is among them.
+        """
+        candidates = [requester]
+        for client in clients:
+            holder = holding_of(client).share
+            if holder is share or (holder is not None and holder.borrowed()):
+                candidates.append(client)
+        return min(candidates, key=lambda client: client.state_since)
+
     def longest_idle(self, before: int) -> Iterator[ClientConnection]:
         """Yield clients that have been idle since before this time.
 
