Simulation: each simulated upstream has an address of its own

Cause: all simulated upstreams had one address, which nothing looked at until pools took two entries at one address for one process and its successor; an upstream under a new name replaced all others.

--- a/whinpier/simulation/servers.py
+++ b/whinpier/simulation/servers.py
@@ -84,7 +84,7 @@
         """What the list says of it."""
         return Entry(
             self.name,
-            ("127.0.0.1", 1),
+            ("127.0.0.1", self.number + 1),  # each has an address of its own
             self.state,
             f"z{self.zone}",
             "",
