--- a/whinpier/testbed/http_soak.py
+++ b/whinpier/testbed/http_soak.py
@@ -15,10 +15,9 @@
 import subprocess
 import sys
 import tempfile
-import threading
 import time
 from collections.abc import Callable
-from contextlib import ExitStack, suppress
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
@@ -26,11 +25,11 @@
 
 from whinpier.testbed.clients import Asks, Gateway
 from whinpier.testbed.hostile_clients import CROWDS, FLOODS, HostileClients
-from whinpier.testbed.process import Balancer, free_address
+from whinpier.testbed.hostile_trial import CONFIGURATION, FAULTS, SOCKETS
+from whinpier.testbed.process import Balancer, MemoryWatch, free_address
 from whinpier.testbed.upstream import Script
 from whinpier.testbed.upstream_fleet import UpstreamFleet
 
-CONFIGURATION = Path("example/config.json")
 UPSTREAMS = 8
 SPAN_S = 4.0  # until SIGTERM
 BEGIN_S = 0.5  # without faults
@@ -40,7 +39,6 @@
 CROWD = 600  # connections
 FLOOD = 6
 MEMORY_MB = 64
-SOCKETS = 1024
 LATE_S = 0.05  # by which each time limit is longer on sockets
 DRAIN_GRACE_S = 2.0  # of the configuration
 SCRIPTS: tuple[dict[str, Any], ...] = (
@@ -133,10 +131,9 @@
         try:
             self.balancer.wait_ready()
             clients = gateways(self.run, self.balancer.address)
-            watch = threading.Thread(target=self.watch_memory, daemon=True)
-            watch.start()
-            asyncio.run(self.serve(clients))
-            watch.join()
+            with MemoryWatch(self.balancer) as watch:
+                asyncio.run(self.serve(clients))
+            self.peak = watch.peak
             self.check(clients)
         finally:
             self.balancer.stop(wait=False)
@@ -149,13 +146,6 @@
             f"peak_mb={self.peak >> 20} broken={'; '.join(self.broken) or '-'}"
         )
 
-    def watch_memory(self) -> None:
-        """Note the most that the balancer holds."""
-        while self.balancer.process.poll() is None:
-            with suppress(OSError, IndexError):
-                self.peak = max(self.peak, self.balancer.memory())
-            time.sleep(0.02)
-
     async def serve(self, clients: list[Gateway]) -> None:
         """Have all clients ask until SIGKILL, with the faults of the run."""
         kill_after = min(self.run.patience_s, MAX_DEADLINE_S) + KILL_MARGIN_S
@@ -234,7 +224,7 @@
         if self.peak > MEMORY_MB << 20:
             self.broken.append(f"{self.peak >> 20} MB of {MEMORY_MB}")
         log = self.balancer.log()
-        for fault in ("event=invariant_violated", "level=error"):
+        for fault in FAULTS:
             if fault in log:
                 line = next(line for line in log.splitlines() if fault in line)
                 self.broken.append(f"log: {line[:300]}")
--- a/whinpier/testbed/process.py
+++ b/whinpier/testbed/process.py
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from contextlib import suppress
 from functools import cache
@@ -18,6 +19,7 @@
 from pathlib import Path
 from typing import Any
 
+MEMORY_INTERVAL_S = 0.02  # between two looks at a process's memory
 LIMIT = 20.0  # seconds that a start or an end may take
 PORTS = range(10_000, 32_000, 500)  # blocks, below what the system gives to who asks for any port
 
@@ -183,3 +185,26 @@
                 self.process.kill()
                 self.process.wait()
         return self.process.returncode
+
+
+class MemoryWatch:
+    """The most memory that a balancer holds while the block lasts."""
+
+    def __init__(self, balancer: Balancer) -> None:
+        self.balancer = balancer
+        self.peak = 0  # bytes
+        self.over = threading.Event()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+
+    def run(self) -> None:
+        while not self.over.wait(MEMORY_INTERVAL_S) and self.balancer.process.poll() is None:
+            with suppress(OSError, IndexError):  # it has just ended
+                self.peak = max(self.peak, self.balancer.memory())
+
+    def __enter__(self) -> MemoryWatch:
+        self.thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.over.set()
+        self.thread.join()
