--- a/tests/http/test_sockets.py
+++ b/tests/http/test_sockets.py
@@ -23,7 +23,7 @@
 from whinpier import log
 from whinpier.config.model import kept_till_restart
 from whinpier.config.platform import read
-from whinpier.http.client_connection import HttpRequest
+from whinpier.http.client_request import HttpRequest
 from whinpier.http.transport import Http1Transport
 from whinpier.http.upstream_connection import HttpAttempt
 from whinpier.policy.decaying_sum import SECOND
--- a/tests/http/test_unexpected_errors.py
+++ b/tests/http/test_unexpected_errors.py
@@ -8,7 +8,8 @@
 from tests.harness import fail
 from tests.http.test_endings import OK_RESPONSE, request, running_harness
 from whinpier import log
-from whinpier.http.client_connection import ClientConnection, HttpRequest
+from whinpier.http.client_connection import ClientConnection
+from whinpier.http.client_request import HttpRequest
 
 pytestmark = [pytest.mark.anyio, pytest.mark.xdist_group("sockets")]
 
