HTTP: a response as large as its pool's limit is not cut for its head

Cause: what a client has not taken was held with the response's head; with a body of just the pool's limit the client that took it would have been closed. Change: what is held is the pool's limit at the most.

--- a/whinpier/http/client_connection.py
+++ b/whinpier/http/client_connection.py
@@ -553,9 +553,10 @@
         budget = self.frontend.budget
         share = self.pool_budget.bodies if self.pool_budget else budget.unrouted_bodies
         # A view keeps all of its bytes, also those that the socket has taken.
-        while not self.closed and not self.unsent_bytes.resize(
-            share, memoryview(self.unsent.obj).nbytes
-        ):
+        size = memoryview(self.unsent.obj).nbytes
+        if share.limit is not None:
+            size = min(size, share.limit)  # a body as large as the limit comes with its head
+        while not self.closed and not self.unsent_bytes.resize(share, size):
             self.frontend.close_slowest_reader(self, share)
 
     def flush(self) -> None:
