Log: a line that is held back is not built

Change: whether an event has had its lines in this second is looked up before a line is built; it counts as kept back as before.

--- a/whinpier/log.py
+++ b/whinpier/log.py
@@ -51,6 +51,13 @@
         self.passed: Counter[str] = Counter()
         self.kept_back: Counter[str] = Counter()
 
+    def holds_back(self, event: str) -> bool:
+        """Count a line of an event that has had its lines in this second; building it costs more."""
+        if self.passed[event] < MAX_LINES_PER_SECOND or int(time.monotonic()) != self.second:
+            return False
+        self.kept_back[event] += 1
+        return True
+
     def filter(self, record: logging.LogRecord) -> bool:
         """Return whether a line may pass; the first to pass tells how many before it did not."""
         event = record.getMessage()
@@ -67,11 +74,14 @@
         return True
 
 
+_rate_limit = RateLimitFilter()
+
+
 def set_up() -> None:
     """Send all lines to standard error."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValueFormatter())
-    handler.addFilter(RateLimitFilter())
+    handler.addFilter(_rate_limit)
     _logger.handlers = [handler]
     _logger.setLevel(logging.INFO)
     _logger.propagate = False
@@ -80,11 +90,15 @@
 
 def info(event: str, **pairs: Any) -> None:
     """Log an event of normal operation."""
+    if _rate_limit.holds_back(event):
+        return
     _logger.info(event, extra={"pairs": pairs})
 
 
 def warning_uncounted(event: str, **pairs: Any) -> None:
     """Log a warning of what is counted elsewhere, to show where it happens."""
+    if _rate_limit.holds_back(event):
+        return
     _logger.warning(event, extra={"pairs": pairs})
 
 
